--- /dev/null
+++ b/runcourse/__init__.py
@@ -0,0 +1,1 @@
+"""runcourse: a cluster scheduler."""
--- /dev/null
+++ b/runcourse/__main__.py
@@ -0,0 +1,5 @@
+import sys
+
+from .cli import main
+
+sys.exit(main())
--- /dev/null
+++ b/runcourse/client.py
@@ -0,0 +1,60 @@
+"""The client commands: submit, status, cancel. Exit code 0 only for an answered request."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import sys
+from pathlib import Path
+from typing import Any
+
+import msgspec
+
+from .config import SettingsError, address
+from .net.http import Client, NotSent, Unanswered
+from .wire import messages as wire
+
+EXIT_REFUSED = 1
+EXIT_USAGE = 2
+EXIT_UNREACHABLE = 3
+
+
+def run_client(command: str, api: str, what: str) -> int:
+    try:
+        host, port = address(api, "--api")
+        method, target, body = _request(command, what)
+    except (SettingsError, OSError, msgspec.DecodeError) as problem:
+        print(f"runcourse: {problem}", file=sys.stderr)
+        return EXIT_USAGE
+    try:
+        status, answer = asyncio.run(_send(host, port, method, target, body))
+    except (NotSent, Unanswered) as problem:
+        print(f"runcourse: no answer: {problem}", file=sys.stderr)
+        return EXIT_UNREACHABLE
+    try:
+        print(json.dumps(wire.decode_map(answer) if answer else {}))
+    except wire.Malformed as problem:
+        print(f"runcourse: {problem}", file=sys.stderr)
+        return EXIT_REFUSED
+    if status not in (200, 201):
+        print(f"runcourse: refused with status {status}", file=sys.stderr)
+        return EXIT_REFUSED
+    return 0
+
+
+def _request(command: str, what: str) -> tuple[str, str, Any]:
+    if command == "submit":
+        text = sys.stdin.read() if what == "-" else Path(what).read_text(encoding="utf-8")
+        return "POST", "/v1/jobs", msgspec.json.decode(text)
+    if command == "cancel":
+        return "POST", f"/v1/jobs/{what}/withdraw", {}
+    return "GET", f"/v1/jobs/{what}", None
+
+
+async def _send(host: str, port: int, method: str, target: str, body: Any) -> tuple[int, bytes]:
+    client = Client(host, port, limit=1, connect_s=3.0)
+    try:
+        return await client.request(method, target,
+                                    wire.encode(body) if body is not None else None, 10.0)
+    finally:
+        client.close()
--- /dev/null
+++ b/runcourse/config.py
@@ -0,0 +1,185 @@
+"""Settings: the platform's TOML file and the operators' S-expressions, both checked.
+
+Every fault is reported as one line naming the file, the field and the reason.
+"""
+
+from __future__ import annotations
+
+import tomllib
+from pathlib import Path
+from typing import Annotated, Any
+
+import msgspec
+import sexpdata
+from msgspec import Meta, Struct, field
+
+Name = Annotated[str, Meta(min_length=1)]
+Positive = Annotated[float, Meta(gt=0)]
+NonNegative = Annotated[float, Meta(ge=0)]
+Count = Annotated[int, Meta(ge=1)]
+
+
+class SettingsError(Exception):
+    """A faulty settings file; the message names file, field and reason."""
+
+
+class Peer(Struct, frozen=True):
+    member: Name
+    area: Name
+    addr: Name
+
+
+class Services(Struct, frozen=True):
+    cloud: Name
+    state: Name
+
+
+class TeamSettings(Struct, frozen=True):
+    name: Name
+    cpus: NonNegative = 0.0
+    cpus_max: NonNegative = 0.0
+    gpus: NonNegative = 0.0
+    gpus_max: NonNegative = 0.0
+
+
+class Objective(Struct, frozen=True, rename={"job_class": "class"}):
+    kind: Name
+    job_class: str | None = None
+    share: float | None = None
+    times: float | None = None
+    within_s: float | None = None
+
+
+class WorkerSettings(Struct, frozen=True):
+    report_s: Positive
+    lease_s: Positive
+    cancel_s: Positive
+
+
+class StateSettings(Struct, frozen=True):
+    rps: Positive
+    write_rps: Positive
+    value_kb: Positive = 16.0
+    txn_ops: Count = 24
+
+
+class CloudSettings(Struct, frozen=True):
+    rps: Positive
+    list_lag_s: NonNegative = 5.0
+
+
+class Quota(Struct, frozen=True):
+    core_share: Positive = 1.0
+    memory_mb: Positive = 256.0
+    fd_limit: Annotated[int, Meta(ge=16)] = 1024
+
+
+class Deployment(Struct, frozen=True):
+    workers: WorkerSettings
+    state: StateSettings
+    cloud: CloudSettings
+    nodes: Count
+    zones: tuple[Name, ...] = ()
+    skew_ms: NonNegative = 0.0
+    teams: tuple[TeamSettings, ...] = ()
+    objectives: tuple[Objective, ...] = ()
+    quota: Quota = field(default_factory=Quota)
+
+
+class Platform(Struct, frozen=True):
+    member: Name
+    area: Name
+    api_addr: Name
+    internal_addr: Name
+    services: Services
+    settings: Deployment
+    peers: tuple[Peer, ...] = ()
+
+
+class Operators(Struct, frozen=True, rename="kebab"):
+    """The operators' own settings and their defaults. Times in seconds."""
+
+    live_ttl: Annotated[float, Meta(ge=0.5, le=60)] | None = None  # None: from the workers' lease
+    sync_every: Annotated[float, Meta(ge=0.02, le=5)] = 0.2
+    sample: Annotated[int, Meta(ge=2)] = 16  # machines scored for one task when work piles up
+    turn_budget: Annotated[int, Meta(ge=1)] = 2000  # machine scores in one turn before sampling
+    headroom: Annotated[float, Meta(ge=0, le=4)] = 1.0  # factor on the learnt spare room
+    idle_return: Annotated[float, Meta(ge=0)] | None = None  # None: from boot time and price
+    image_weight: Annotated[float, Meta(ge=0)] = 100.0  # score of an image already held, per fetch
+
+
+def address(text: str, where: str) -> tuple[str, int]:
+    host, _, port = text.rpartition(":")
+    if not host or not port.isdigit() or not 0 < int(port) < 65536:
+        raise SettingsError(f"{where}: {text!r} is not an address of the form host:port")
+    return host, int(port)
+
+
+def _reason(path: Path, problem: msgspec.ValidationError) -> SettingsError:
+    text = str(problem)
+    reason, _, place = text.partition(" - at `$")
+    place = place.rstrip("`").lstrip(".")
+    return SettingsError(f"{path}: {place or 'settings'}: {reason}")
+
+
+def load_platform(path: Path) -> Platform:
+    try:
+        raw = tomllib.loads(path.read_text(encoding="utf-8"))
+    except OSError as problem:
+        raise SettingsError(f"{path}: file: {problem.strerror}") from problem
+    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as problem:
+        raise SettingsError(f"{path}: file: not TOML: {problem}") from problem
+    try:
+        platform = msgspec.convert(raw, Platform, strict=False)
+    except msgspec.ValidationError as problem:
+        raise _reason(path, problem) from problem
+    for where, text in [
+        ("api_addr", platform.api_addr),
+        ("internal_addr", platform.internal_addr),
+        ("services.cloud", platform.services.cloud),
+        ("services.state", platform.services.state),
+        *((f"peers[{n}].addr", p.addr) for n, p in enumerate(platform.peers)),
+    ]:
+        address(text, f"{path}: {where}")
+    names = [platform.member, *(p.member for p in platform.peers)]
+    if len(set(names)) != len(names):
+        raise SettingsError(f"{path}: peers: a member is named twice")
+    if platform.settings.nodes != len(names):
+        raise SettingsError(
+            f"{path}: settings.nodes: {platform.settings.nodes} nodes, but this node and its"
+            f" peers are {len(names)}"
+        )
+    teams = [t.name for t in platform.settings.teams]
+    if len(set(teams)) != len(teams):
+        raise SettingsError(f"{path}: settings.teams: a team is named twice")
+    return platform
+
+
+def load_operators(path: Path | None) -> Operators:
+    """`(runcourse (name value) ...)`; what is left out keeps its default."""
+    if path is None:
+        return Operators()
+    try:
+        tree = sexpdata.loads(  # type: ignore[no-untyped-call]
+            path.read_text(encoding="utf-8"))
+    except OSError as problem:
+        raise SettingsError(f"{path}: file: {problem.strerror}") from problem
+    except Exception as problem:  # sexpdata has no common base for what it raises
+        raise SettingsError(f"{path}: file: not an S-expression: {problem}") from problem
+    if not isinstance(tree, list) or not tree or str(tree[0]) != "runcourse":
+        raise SettingsError(f"{path}: file: expected (runcourse (name value) ...)")
+    raw: dict[str, Any] = {}
+    known = {f.encode_name for f in msgspec.structs.fields(Operators)}
+    for entry in tree[1:]:
+        if not isinstance(entry, list) or len(entry) != 2:
+            raise SettingsError(f"{path}: {entry}: expected (name value)")
+        name = str(entry[0])
+        if name not in known:
+            raise SettingsError(f"{path}: {name}: unknown setting")
+        if name in raw:
+            raise SettingsError(f"{path}: {name}: given twice")
+        raw[name] = entry[1]
+    try:
+        return msgspec.convert(raw, Operators)
+    except msgspec.ValidationError as problem:
+        raise _reason(path, problem) from problem
--- /dev/null
+++ b/runcourse/core/authority.py
@@ -0,0 +1,227 @@
+"""May this node act? Its leased `live` key, its contact with the store, and vouching.
+
+A node acts until the time-to-live of its lease has passed since it last *sent* a renewal
+that succeeded and a catch-up read that succeeded. Beyond that it acts only while a
+majority, itself included, vouches that it too has no contact with the state service: then
+the leases stand still and nobody can have taken anything over.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+
+from .context import DRIFT, Context
+from .ids import ABSENT, LONG_AGO, Incarnation, Instant, Member, Stamp
+from .store import LIVE, Store
+from .types import Extend, Grant, Outcome, Say
+
+
+class Authority:
+    def __init__(self, cx: Context, store: Store, on_live: Callable[[], None],
+                 on_lost: Callable[[str], None]) -> None:
+        self.cx = cx
+        self.store = store
+        self.inc = Incarnation(f"{cx.rng.getrandbits(64):016x}")
+        lease = cx.platform.settings.workers.lease_s
+        self.ttl = cx.operators.live_ttl or min(max(lease * 0.3, 1.5), 5.0)
+        self.vouch_s = max(self.ttl * 0.75, 1.0)
+        self.grant: int | None = None
+        self.live = False  # the live key stands, as far as is known
+        self.renewed = LONG_AGO  # when the newest renewal that succeeded was sent
+        self._on_live = on_live
+        self._on_lost = on_lost
+        self._busy = False
+        self._next = Instant(0.0)
+        self._gone: dict[Member, Incarnation] = {}  # dead incarnations this node attests
+        self._never_vouch: set[Incarnation] = set()
+        self._vouched: dict[Member, Instant] = {}  # whom this node vouches for, until when
+        self._votes: dict[Member, Instant] = {}  # who vouches for this node, until when
+        self._ask = cx.rng.getrandbits(48)  # not an earlier process's numbers
+        self._asked = LONG_AGO
+        self._asked_at: dict[int, Instant] = {}
+        self._refuted = False
+        store.listen(LIVE, self._live_changed)
+
+    # --- what others ask of it -----------------------------------------------------------
+
+    @property
+    def until(self) -> Instant:
+        """End of the authority that the lease gives by itself."""
+        if not self.live:
+            return LONG_AGO
+        return Instant(min(self.renewed, self.store.last_synced) + self.ttl * (1 - DRIFT) - 0.05)
+
+    def entitled(self) -> bool:
+        now = self.cx.now
+        if not self.live:
+            return False
+        if now < self.until:
+            return True
+        if self._refuted:
+            return False
+        votes = 1 + sum(1 for until in self._votes.values() if now < until)
+        return votes >= self.cx.majority
+
+    def live_inc(self, member: Member) -> Incarnation | None:
+        value = self.store.get(LIVE + member)
+        return Incarnation(str(value["inc"])) if value else None
+
+    def live_members(self) -> list[Member]:
+        return [m for m in self.cx.members if self.live_inc(m) is not None]
+
+    def attests(self, member: Member, inc: Incarnation) -> bool:
+        """Did `member`, having contact, state that it saw this incarnation's lease end?"""
+        value = self.store.get(LIVE + member)
+        return bool(value) and inc in value.get("gone", ())
+
+    # --- the lease -----------------------------------------------------------------------
+
+    def tick(self) -> None:
+        now = self.cx.now
+        if not self.store.ready:
+            return
+        if not self._busy and now >= self._next:
+            if self.grant is None:
+                self._take_grant()
+            elif not self.live:
+                self._write_live()
+            else:
+                self._extend()
+        if self.live and now > self.until - self.ttl * 0.45:
+            self._ask_vouch()
+        if now < self.until:
+            self._refuted = False
+
+    def _take_grant(self) -> None:
+        self._busy = True
+
+        def done(outcome: Outcome) -> None:
+            self._busy = False
+            self._next = Instant(self.cx.now + 0.2)
+            if outcome.status == 200:
+                self.grant = int(outcome.body)
+                self.renewed = Instant(outcome.began)
+                self._write_live()
+
+        self.cx.out.append(Grant(done, int(self.ttl * 1000)))
+
+    def _value(self) -> dict[str, Any]:
+        return {"inc": self.inc, "gone": sorted(set(self._gone.values()))}
+
+    def _write_live(self) -> None:
+        self._busy = True
+
+        def done(result: str, stamp: Stamp) -> None:
+            self._busy = False
+            self._next = Instant(self.cx.now + (self.ttl / 4 if result == "ok" else 0.2))
+            if result == "ok":
+                self.live = True
+                self._on_live()
+            elif result == "nolease":
+                self.grant = None
+
+        # Unconditional: whatever process wrote this key under this name before is dead.
+        self.store.commit([], [(LIVE + self.cx.me, self._value(), self.grant)], done,
+                          Store.URGENT)
+
+    def _extend(self) -> None:
+        self._busy = True
+        assert self.grant is not None
+
+        def done(outcome: Outcome) -> None:
+            self._busy = False
+            self._next = Instant(self.cx.now + (self.ttl / 4 if outcome.status == 200 else 0.2))
+            self.store.note_contact(outcome.status == 200, outcome.status,
+                                    Instant(outcome.began))
+            if outcome.status == 200:
+                self.renewed = max(self.renewed, Instant(outcome.began))
+            elif outcome.status == 404:
+                self.lose("the lease ended")
+
+        self.cx.out.append(Extend(done, self.grant))
+
+    def lose(self, why: str) -> None:
+        """This incarnation is over; the next one starts as a restarted process would."""
+        if self.live:
+            self.cx.log("warning", f"authority lost: {why}")
+        self.live = False
+        self.grant = None
+        self.inc = Incarnation(f"{self.cx.rng.getrandbits(64):016x}")
+        self._votes.clear()
+        self._next = self.cx.now
+        self._on_lost(why)
+
+    def _live_changed(self, key: str, value: Any, stamp: Stamp) -> None:
+        member = Member(key[len(LIVE):])
+        if member == self.cx.me:
+            if self.live and (value is None or value.get("inc") != self.inc):
+                self.lose("the live key is gone or another's")
+            return
+        if value is not None:
+            self._gone.pop(member, None)
+
+    def saw_end(self, member: Member, inc: Incarnation) -> None:
+        """`member`'s lease is seen to have ended: never vouch for that incarnation again,
+        and say so in the live key, which only a node with contact can write."""
+        self._never_vouch.add(inc)
+        if self._gone.get(member) == inc or not self.live or self._busy:
+            return
+        if self.cx.now < self._vouched.get(member, LONG_AGO):
+            return
+        # A process that just started may have vouched and forgotten it.
+        if self.cx.now < self.cx.started + self.vouch_s * (1 + DRIFT):
+            return
+        self._gone[member] = inc
+        self._busy = True
+        me = LIVE + self.cx.me
+
+        def done(result: str, stamp: Stamp) -> None:
+            self._busy = False
+            if result != "ok":
+                self._gone.pop(member, None)
+
+        when: list[tuple[str, int]] = [(LIVE + member, ABSENT), (me, self.store.stamp(me))]
+        self.store.commit(when, [(me, self._value(), self.grant)], done, Store.URGENT)
+
+    # --- vouching ------------------------------------------------------------------------
+
+    def _ask_vouch(self) -> None:
+        now = self.cx.now
+        if now < self._asked + 0.4:
+            return
+        self._asked = now
+        self._ask += 1
+        self._asked_at[self._ask] = now
+        self._asked_at.pop(self._ask - 20, None)
+        self.cx.out.append(Say(None, {"t": "vouch?", "inc": self.inc, "n": self._ask}))
+
+    def asked(self, member: Member, message: dict[str, Any]) -> None:
+        """A peer without contact asks whether this node has none either."""
+        now = self.cx.now
+        inc = Incarnation(str(message["inc"]))
+        recently = self.store.last_contact > now - 1.0 and not self.store.failing
+        ok = (
+            self.store.failing
+            and not recently
+            and inc not in self._never_vouch
+            and self.live_inc(member) == inc
+            and now > self.cx.started + self.vouch_s * (1 + DRIFT)
+        )
+        if ok:
+            self._vouched[member] = Instant(now + self.vouch_s * (1 + DRIFT))
+        self.cx.out.append(Say(member, {"t": "vouch", "inc": inc, "n": message["n"], "ok": ok,
+                                        "contact": recently}))
+
+    def answered(self, member: Member, message: dict[str, Any]) -> None:
+        sent = self._asked_at.get(int(message["n"]))
+        if sent is None or message["inc"] != self.inc:
+            return
+        if message["ok"]:
+            until = Instant(sent + self.vouch_s * (1 - DRIFT))
+            self._votes[member] = max(until, self._votes.get(member, until))
+        else:
+            self._votes.pop(member, None)
+            # Any peer with contact ends it: the store is there, and it isn't for this node.
+            if message["contact"] and self.cx.now >= self.until:
+                self._refuted = True
--- /dev/null
+++ b/runcourse/core/ids.py
@@ -0,0 +1,56 @@
+"""Ids, versions and times as small types of their own."""
+
+from __future__ import annotations
+
+from typing import NamedTuple, NewType
+
+JobId = NewType("JobId", str)
+MachineId = NewType("MachineId", str)
+Member = NewType("Member", str)
+Incarnation = NewType("Incarnation", str)
+Team = NewType("Team", str)
+
+ShareNo = NewType("ShareNo", int)
+Stamp = NewType("Stamp", int)  # revision of a key's latest change; 0: the key does not exist
+Token = NewType("Token", int)  # fencing token towards one worker
+Attempt = NewType("Attempt", int)
+Session = NewType("Session", int)
+
+Instant = NewType("Instant", float)  # seconds on this process's steady clock
+
+COUNTER_BITS = 20
+ABSENT = Stamp(0)
+NO_TOKEN = Token(0)
+START = Instant(0.0)
+LONG_AGO = Instant(-1e9)
+
+
+class TaskId(NamedTuple):
+    """Task 3 of job j-000412 is written j-000412/3."""
+
+    job: JobId
+    number: int
+
+    def __str__(self) -> str:
+        return f"{self.job}/{self.number}"
+
+
+def parse_task(text: str) -> TaskId:
+    job, _, index = text.rpartition("/")
+    if not job or not index.isdigit():
+        raise ValueError(f"not a task id: {text!r}")
+    return TaskId(JobId(job), int(index))
+
+
+def make_token(epoch: Stamp, counter: int) -> Token:
+    """A later epoch always outranks an earlier one, whatever its counter."""
+    return Token((epoch << COUNTER_BITS) | counter)
+
+
+def make_attempt(epoch: Stamp, counter: int) -> Attempt:
+    """Unique and rising with nothing stored: the epoch comes from the state service."""
+    return Attempt((epoch << COUNTER_BITS) | counter)
+
+
+def later(at: Instant, seconds: float) -> Instant:
+    return Instant(at + seconds)
--- /dev/null
+++ b/runcourse/core/jobs.py
@@ -0,0 +1,131 @@
+"""Jobs as stored: submissions, stages and finished tasks."""
+
+from __future__ import annotations
+
+import re
+from collections.abc import Iterable
+from typing import Any
+
+import msgspec
+
+from .ids import ABSENT, JobId, Stamp, Team
+from .placement import Size
+
+PAGE_BITS = 16384  # finished tasks per stored page: 4 KiB of hexadecimal digits
+MAX_TASKS = 100_000
+RANKS = {"prod": 0, "urgent": 1, "normal": 2, "idle": 3}
+UID = re.compile(r"j-[0-9]{1,18}\Z", re.ASCII)
+
+
+class JobSpec(msgspec.Struct, frozen=True, omit_defaults=True, kw_only=True):
+    """A submission, in the field's own terms."""
+
+    uid: str
+    lane: str
+    team: str
+    service: bool
+    rank: int
+    tasks: int
+    cpus: float
+    gpus: float
+    memory: float
+    image: str
+    image_gb: float
+    types: tuple[str, ...] | None = None
+    zone: str | None = None
+    together: bool = False
+    spread: bool = False
+    spot: bool = False
+    estimate_s: float = 0.0
+    checkpoint_s: float = 0.0
+    save_s: float = 0.0
+    deadline_s: float | None = None
+
+    @property
+    def size(self) -> Size:
+        return Size(self.cpus, self.memory, self.gpus)
+
+
+class Job:
+    """One accepted job: what the state service says of it."""
+
+    __slots__ = ("accepted", "done_bits", "done_count", "page_stamps", "size", "spec", "stage",
+                 "stamp", "submitted", "uid")
+
+    def __init__(self, spec: JobSpec, stamp: Stamp) -> None:
+        self.uid = JobId(spec.uid)
+        self.spec = spec
+        self.size = spec.size
+        self.stage = "accepted"
+        self.stamp = stamp
+        self.accepted = stamp  # revision of its acceptance
+        self.submitted = 0.0  # this node's steady clock, first sight
+        self.done_bits = 0
+        self.done_count = 0
+
+    @property
+    def final(self) -> bool:
+        return self.stage != "accepted"
+
+    def is_done(self, index: int) -> bool:
+        return bool(self.done_bits >> index & 1)
+
+    def page(self, number: int, extra: int) -> dict[str, Any]:
+        """The stored form of one page of finished tasks, `extra` included."""
+        mask = (1 << PAGE_BITS) - 1
+        bits = ((self.done_bits | extra) >> (number * PAGE_BITS)) & mask
+        return {"bits": f"{bits:x}"}
+
+    def add_done(self, bits: int) -> None:
+        self.done_bits |= bits
+        self.done_count = self.done_bits.bit_count()
+
+
+class Jobs:
+    """The table of all jobs. Fed only by what the state service holds."""
+
+    def __init__(self) -> None:
+        self._jobs: dict[JobId, Job] = {}
+        self._early_pages: dict[JobId, int] = {}
+
+    def get(self, uid: JobId) -> Job | None:
+        return self._jobs.get(uid)
+
+    def __len__(self) -> int:
+        return len(self._jobs)
+
+    def open_jobs(self) -> Iterable[Job]:
+        return (j for j in self._jobs.values() if not j.final)
+
+    def apply_job(self, uid: JobId, value: dict[str, Any], stamp: Stamp, now: float) -> Job:
+        job = self._jobs.get(uid)
+        if job is None:
+            job = Job(msgspec.convert(value["spec"], JobSpec), stamp)
+            job.submitted = now
+            job.add_done(self._early_pages.pop(uid, 0))
+            self._jobs[uid] = job
+        # A job that is done or cancelled stays so, whatever order news arrives in.
+        if not job.final:
+            job.stage = str(value["stage"])
+        job.accepted = Stamp(int(value.get("accepted", ABSENT)) or job.accepted)
+        job.stamp = stamp
+        return job
+
+    def apply_page(self, uid: JobId, page: int, value: dict[str, Any]) -> None:
+        bits = int(str(value["bits"]), 16) << (page * PAGE_BITS)
+        job = self._jobs.get(uid)
+        if job is None:
+            self._early_pages[uid] = self._early_pages.get(uid, 0) | bits
+        else:
+            job.add_done(bits)
+
+
+def job_value(spec: JobSpec, stage: str, accepted: Stamp = ABSENT) -> dict[str, Any]:
+    value: dict[str, Any] = {"spec": msgspec.to_builtins(spec), "stage": stage}
+    if accepted:
+        value["accepted"] = accepted
+    return value
+
+
+def owner_team(spec: JobSpec) -> Team:
+    return Team(spec.team)
--- /dev/null
+++ b/runcourse/core/node.py
@@ -0,0 +1,270 @@
+"""One controller: the state machine that all inputs go through.
+
+`handle(now, input)` returns the effects to carry out. No clock, no input or output.
+"""
+
+from __future__ import annotations
+
+import random
+from typing import Any
+
+import msgspec
+
+from ..config import Operators, Platform
+from .authority import Authority
+from .context import Context
+from .ids import LONG_AGO, Instant, JobId, MachineId, Member, ShareNo, Stamp, Token
+from .jobs import Jobs
+from .machines import Fleet
+from .quota import Quota
+from .rental import Rental
+from .scheduler import Scheduler
+from .shares import Holding, Shares
+from .store import DONE, JOB, LEADER, Store
+from .types import (
+    Answer,
+    AnswerBeat,
+    Beat,
+    Health,
+    Order,
+    Outcome,
+    PeerSaid,
+    Poll,
+    Report,
+    Say,
+    Submit,
+    Tick,
+    Withdraw,
+)
+from .users import Users
+
+GOSSIP_EVERY_S = 1.0
+REDIRECT_MEMORY_S = 15.0
+RELAY_TIMEOUT_S = 3.0
+RELAY_RETEST_S = 40.0
+
+
+class Node:
+    def __init__(self, platform: Platform, operators: Operators, rng: random.Random,
+                 now: Instant) -> None:
+        self.cx = cx = Context(platform, operators, rng, now=now, started=now)
+        self.store = Store(cx)
+        self.jobs = Jobs()
+        self.authority = Authority(cx, self.store, self._on_live, self._on_lost)
+        self.shares = Shares(cx, self.store, self.authority, self._on_gain, self._on_loss)
+        self.quota = Quota(cx)
+        self.scheduler = Scheduler(cx, self.store, self.shares, self.jobs, self.quota)
+        self.fleet = Fleet(cx, self.store, self.shares, self.jobs, self.scheduler)
+        self.scheduler.fleet = self.fleet
+        self.rental = Rental(cx, self.store, self.authority, self.shares, self.fleet,
+                             self.scheduler)
+        self.users = Users(cx, self.store, self.authority, self.shares, self.jobs, self.quota,
+                           self.fleet)
+        self.store.listen(JOB, self._job_changed)
+        self.store.listen(DONE, self._page_changed)
+        self.store.listen(LEADER, lambda key, value, stamp: None)
+        self._peer_contact: dict[Member, tuple[Instant, bool]] = {}
+        self._peer_running: dict[Member, dict[str, int]] = {}
+        self._gossip_at = LONG_AGO
+        self._redirected: dict[MachineId, Instant] = {}
+        self._relaying: dict[MachineId, Instant] = {}
+        self._relays: dict[int, tuple[int, Instant]] = {}
+        # Never the numbers of an earlier process: its answers may still be under way.
+        self._relay_no = rng.getrandbits(48)
+
+    # --- entry ---------------------------------------------------------------------------
+
+    def handle(self, now: float, event: Any) -> list[Any]:
+        cx = self.cx
+        cx.now = Instant(max(now, cx.now))
+        self._dispatch(event)
+        self.scheduler.flush()
+        self.scheduler.turn()
+        self.fleet.push()
+        effects, cx.out = cx.out, []
+        return effects
+
+    def _dispatch(self, event: Any) -> None:
+        match event:
+            case Outcome():
+                event.tag(event)
+            case Beat():
+                self._beat(event)
+            case Poll():
+                self.users.poll(event)
+            case Submit():
+                self.users.submit(event)
+            case Withdraw():
+                self.users.withdraw(event)
+            case Tick():
+                self._tick()
+            case PeerSaid():
+                try:
+                    self._peer_said(event.member, event.message)
+                except (KeyError, TypeError, ValueError, msgspec.ValidationError) as problem:
+                    self.cx.log("warning", f"peer {event.member}: malformed message:"
+                                           f" {type(problem).__name__} {problem}")
+            case Health():
+                self._health(event)
+            case _:
+                raise TypeError(f"unknown input {event!r}")
+
+    def _tick(self) -> None:
+        self.store.tick()
+        self.authority.tick()
+        self.shares.tick()
+        self.fleet.tick()
+        self.rental.tick()
+        now = self.cx.now
+        if now >= self._gossip_at + GOSSIP_EVERY_S:
+            self._gossip_at = now
+            self.cx.out.append(Say(None, {
+                "t": "hello", "contact": self._contact(), "running": self.fleet.running_counts()}))
+        for number, (request, until) in list(self._relays.items()):
+            if now > until:
+                del self._relays[number]
+                self.cx.out.append(AnswerBeat(request, 503))
+
+    # --- owning --------------------------------------------------------------------------
+
+    def _on_live(self) -> None:
+        self.cx.log("info", f"live as {self.authority.inc}")
+        self.shares.tick()
+
+    def _on_lost(self, why: str) -> None:
+        self.shares.drop_all()
+
+    def _on_gain(self, holding: Holding) -> None:
+        self.fleet.gain(holding)
+        self.scheduler.gain(holding)
+
+    def _on_loss(self, share: ShareNo) -> None:
+        self.fleet.lose(share)
+        self.scheduler.lose(share)
+
+    # --- jobs in the store ---------------------------------------------------------------
+
+    def _job_changed(self, key: str, value: Any, stamp: Stamp) -> None:
+        if value is not None:
+            uid = JobId(key[len(JOB):])
+            self.scheduler.job_changed(self.jobs.apply_job(uid, value, stamp, self.cx.now))
+
+    def _page_changed(self, key: str, value: Any, stamp: Stamp) -> None:
+        if value is not None:
+            uid, _, page = key[len(DONE):].rpartition("/")
+            self.jobs.apply_page(JobId(uid), int(page), value)
+
+    # --- health --------------------------------------------------------------------------
+
+    def _contact(self) -> bool:
+        return self.store.ready and self.cx.now < self.store.last_contact + 1.5
+
+    def _health(self, ask: Health) -> None:
+        """Healthy with contact, or when nobody else has any: users then get their 503 at
+        once instead of no connection."""
+        now = self.cx.now
+        others = any(at > now - 3.0 and contact for at, contact in self._peer_contact.values())
+        ok = self.store.ready and (self._contact() or not others)
+        self.cx.out.append(Answer(ask.request, 200 if ok else 503,
+                                  {"ok": ok, "member": self.cx.me}))
+
+    # --- workers -------------------------------------------------------------------------
+
+    def _beat(self, beat: Beat) -> None:
+        report = beat.report
+        self.fleet.learn_addr(report.machine, report.addr)
+        record = self.fleet.records.get(report.machine)
+        if not self.store.ready:
+            self._answer(beat, AnswerBeat(beat.request, 503))
+        elif record is None:
+            self.rental.reported_unknown(report)
+            self._answer(beat, AnswerBeat(beat.request, 503))
+        elif record.share in self.shares.mine:
+            self._own_beat(beat, record.share)
+        elif beat.relayed_by is not None:
+            self._answer(beat, AnswerBeat(beat.request, 503))
+        else:
+            self._pass_on(beat, record.share)
+
+    def _own_beat(self, beat: Beat, share: ShareNo) -> None:
+        machine = self.fleet.machines.get(beat.report.machine)
+        # A report that is older than what is known was given up by its worker.
+        if (machine is None or not self.shares.may_command(share)
+                or not self.fleet.hear(beat.report)):
+            self._answer(beat, AnswerBeat(beat.request, 503))
+            return
+        self.scheduler.turn()
+        self.fleet.answered(machine)
+        self._answer(beat, AnswerBeat(beat.request, 200, machine.token,
+                                      self.fleet.orders(machine, answering=True)))
+
+    def _reachable(self, member: Member) -> bool:
+        heard, _ = self._peer_contact.get(member, (LONG_AGO, False))
+        return self.cx.now - heard < 2.5 * GOSSIP_EVERY_S
+
+    def _pass_on(self, beat: Beat, share: ShareNo) -> None:
+        """Send the worker to the owner; if it comes back soon, the owner is out of its
+        reach, and its reports are passed on over the peer link."""
+        now = self.cx.now
+        owner = self.shares.living_owner(share)
+        id = beat.report.machine
+        if owner is None or owner == self.cx.me or not self._reachable(owner):
+            self._answer(beat, AnswerBeat(beat.request, 503))
+            return
+        sent = self._redirected.get(id)
+        since = self._relaying.get(id)
+        if since is not None and now - since > RELAY_RETEST_S:
+            del self._relaying[id]
+            sent = None
+        if sent is None or now - sent > REDIRECT_MEMORY_S:
+            self._redirected[id] = now
+            self._answer(beat, AnswerBeat(beat.request, 421, owner=owner))
+            return
+        self._redirected[id] = now
+        self._relaying.setdefault(id, now)
+        self._relay_no += 1
+        self._relays[self._relay_no] = (beat.request, Instant(now + RELAY_TIMEOUT_S))
+        self.cx.out.append(Say(owner, {"t": "beat", "n": self._relay_no,
+                                       "report": msgspec.to_builtins(beat.report)}))
+
+    def _answer(self, beat: Beat, answer: AnswerBeat) -> None:
+        if beat.relayed_by is None:
+            self.cx.out.append(answer)
+        else:
+            self.cx.out.append(Say(beat.relayed_by, {
+                "t": "beaten", "n": beat.request, "status": answer.status,
+                "token": answer.token, "orders": msgspec.to_builtins(answer.orders)}))
+
+    # --- peers ---------------------------------------------------------------------------
+
+    def _peer_said(self, member: Member, message: dict[str, Any]) -> None:
+        match message["t"]:
+            case "hello":
+                self._peer_contact[member] = (self.cx.now, bool(message["contact"]))
+                self._peer_running[member] = dict(message["running"])
+                self.users.running = {
+                    JobId(uid): n for counts in self._peer_running.values()
+                    for uid, n in counts.items()}
+            case "sync":
+                self.store.sync()
+            case "vouch?":
+                self.authority.asked(member, message)
+            case "vouch":
+                self.authority.answered(member, message)
+            case "load":
+                self.rental.told_load(message)
+            case "unknown":
+                self.rental.told_unknown(message)
+            case "retire" | "give":
+                self.rental.asked(message)
+            case "beat":
+                report = msgspec.convert(message["report"], Report)
+                self._beat(Beat(int(message["n"]), report, member))
+            case "beaten":
+                relay = self._relays.pop(int(message["n"]), None)
+                if relay is not None:
+                    orders = tuple(msgspec.convert(o, Order) for o in message["orders"])
+                    self.cx.out.append(AnswerBeat(relay[0], int(message["status"]),
+                                                  Token(int(message["token"])), orders))
+            case other:
+                self.cx.log("debug", f"peer {member}: unknown message {other!r}")
--- /dev/null
+++ b/runcourse/core/quota.py
@@ -0,0 +1,95 @@
+"""Teams' limits and guarantees, what they hold, and whose work may be stopped for whom."""
+
+from __future__ import annotations
+
+import math
+from typing import NamedTuple
+
+from .context import Context
+from .ids import Team
+from .jobs import Job
+from .machines import Placement
+from .placement import NOTHING, Size
+
+SLACK = 1e-6
+
+
+class TeamLimits(NamedTuple):
+    """A limit of 0 or absent is read as no limit, a guarantee of 0 as none."""
+
+    cpus: float
+    gpus: float
+    cpus_max: float
+    gpus_max: float
+
+
+class Quota:
+    def __init__(self, cx: Context) -> None:
+        self.teams: dict[Team, TeamLimits] = {
+            Team(t.name): TeamLimits(t.cpus, t.gpus, t.cpus_max or math.inf, t.gpus_max or math.inf)
+            for t in cx.platform.settings.teams
+        }
+        self._held: dict[Team, Size] = {}
+
+    def held(self, team: Team) -> Size:
+        return self._held.get(team, NOTHING)
+
+    def add(self, placement: Placement) -> None:
+        if placement.job is not None:
+            team = Team(placement.job.spec.team)
+            self._held[team] = self.held(team).plus(placement.size)
+
+    def remove(self, placement: Placement) -> None:
+        if placement.job is not None:
+            team = Team(placement.job.spec.team)
+            self._held[team] = self.held(team).minus(placement.size)
+
+    def refuses(self, job: Job) -> str | None:
+        """Why the job can never run within its team's limit, if so."""
+        limits = self.teams.get(Team(job.spec.team))
+        if limits is None:
+            return f"unknown team {job.spec.team}"
+        tasks = job.spec.tasks if job.spec.service else 1
+        if (job.spec.cpus * tasks > limits.cpus_max + SLACK
+                or job.spec.gpus * tasks > limits.gpus_max + SLACK):
+            return f"more than the limit of team {job.spec.team}"
+        return None
+
+    def allows(self, job: Job, unlocated: Size = NOTHING) -> bool:
+        """Does one more task stay within the team's limit? `unlocated`: tasks of the team
+        that may be running where this owner can't see them yet."""
+        team = Team(job.spec.team)
+        limits = self.teams.get(team)
+        if limits is None:
+            return False
+        held = self.held(team).plus(unlocated)
+        return (held.cpus + job.size.cpus <= limits.cpus_max + SLACK
+                and held.gpus + job.size.gpus <= limits.gpus_max + SLACK)
+
+    def guaranteed(self, job: Job) -> bool:
+        """Would one more task of the job still lie within its team's guarantee?"""
+        team = Team(job.spec.team)
+        limits = self.teams.get(team)
+        if limits is None or (limits.cpus <= 0 and limits.gpus <= 0):
+            return False
+        held = self.held(team)
+        return (held.cpus + job.size.cpus <= limits.cpus + SLACK
+                and held.gpus + job.size.gpus <= limits.gpus + SLACK)
+
+    def beyond(self, team: Team) -> bool:
+        """Does the team hold more than its guarantee?"""
+        limits = self.teams.get(team)
+        if limits is None:
+            return True
+        held = self.held(team)
+        return held.cpus > limits.cpus + SLACK or held.gpus > limits.gpus + SLACK
+
+    def may_stop(self, waiting: Job, guaranteed: bool, victim: Placement) -> bool:
+        """PROTOCOL's "Preemption": a higher rank, or a guarantee against borrowed room."""
+        job = victim.job
+        if job is None:
+            return False
+        if job.spec.rank > waiting.spec.rank:
+            return True
+        return (guaranteed and job.spec.team != waiting.spec.team
+                and self.beyond(Team(job.spec.team)))
--- /dev/null
+++ b/runcourse/core/scheduler.py
@@ -0,0 +1,373 @@
+"""What runs where: the owner's turns over its shares, and the finishes it stores."""
+
+from __future__ import annotations
+
+import math
+from typing import Any
+
+from .context import Context
+from .ids import LONG_AGO, Instant, JobId, MachineId, ShareNo, Stamp, TaskId, Team
+from .jobs import PAGE_BITS, Job, Jobs, job_value
+from .machines import Fleet, Machine, Placement
+from .placement import NOTHING, Size, progress
+from .quota import Quota
+from .shares import Holding, Shares
+from .store import DONE, JOB, Store
+
+FLUSH_GAP_S = 0.3  # between two stored changes of one job that do not complete it
+
+
+class Work:
+    """What is left to do of one open job of an owned share."""
+
+    __slots__ = ("errors", "finished", "flushed_at", "flushing", "job", "not_before", "pending",
+                 "retry_at", "share", "waits", "zones")
+
+    def __init__(self, job: Job, share: ShareNo) -> None:
+        self.job = job
+        self.share = share
+        self.pending: list[int] = []  # to be started, lowest index last
+        self.zones: dict[str, int] = {}  # tasks placed per zone
+        self.finished = 0  # bits of tasks that are done but not stored yet
+        self.flushing = False
+        self.flushed_at = LONG_AGO
+        self.retry_at = LONG_AGO
+        self.not_before = LONG_AGO
+        self.errors: dict[MachineId, int] = {}
+        self.waits = ""  # why its next task waits
+
+
+class Scheduler:
+    """Watches the ledger, and fills machines with the tasks that wait."""
+
+    def __init__(self, cx: Context, store: Store, shares: Shares, jobs: Jobs,
+                 quota: Quota) -> None:
+        self.cx = cx
+        self.store = store
+        self.shares = shares
+        self.jobs = jobs
+        self.quota = quota
+        self.fleet: Fleet  # set by the node, which builds the two for each other
+        self.work: dict[JobId, Work] = {}
+        self.unmet: dict[ShareNo, list[tuple[Job, int]]] = {}
+        self._dirty = True
+        self._next_turn = Instant(0.0)
+
+    # --- jobs ----------------------------------------------------------------------------
+
+    def job_changed(self, job: Job) -> None:
+        share = self.shares.of_team(Team(job.spec.team))
+        if share not in self.shares.mine:
+            return
+        if job.final:
+            self._close(job)
+        elif job.uid not in self.work:
+            self._open(job, share)
+
+    def gain(self, holding: Holding) -> None:
+        for job in self.jobs.open_jobs():
+            if self.shares.of_team(Team(job.spec.team)) == holding.number:
+                self._open(job, holding.number)
+
+    def lose(self, share: ShareNo) -> None:
+        for uid in [u for u, w in self.work.items() if w.share == share]:
+            del self.work[uid]
+        self.unmet.pop(share, None)
+
+    def _open(self, job: Job, share: ShareNo) -> None:
+        work = Work(job, share)
+        work.pending = [i for i in range(job.spec.tasks - 1, -1, -1)
+                        if not job.is_done(i) and TaskId(job.uid, i) not in self.fleet.where]
+        self.work[job.uid] = work
+        self._dirty = True
+
+    def _close(self, job: Job) -> None:
+        self.work.pop(job.uid, None)
+        for placement in self.fleet.of_job(job.uid):
+            self.fleet.stop(placement)
+        self._dirty = True
+
+    # --- what the ledger tells -----------------------------------------------------------
+
+    def placed(self, placement: Placement) -> None:
+        self.quota.add(placement)
+        work = self.work.get(placement.task.job)
+        if work is not None:
+            zone = placement.machine.record.zone
+            work.zones[zone] = work.zones.get(zone, 0) + 1
+            if work.pending and work.pending[-1] == placement.task.number:
+                work.pending.pop()
+            elif placement.task.number in work.pending:
+                work.pending.remove(placement.task.number)
+        elif placement.job is not None and placement.job.final:
+            self.fleet.stop(placement)
+
+    def lifted(self, placement: Placement) -> None:
+        self.quota.remove(placement)
+        work = self.work.get(placement.task.job)
+        if work is not None:
+            zone = placement.machine.record.zone
+            work.zones[zone] = work.zones.get(zone, 0) - 1
+
+    def gone(self, placement: Placement, why: str) -> None:
+        """The attempt is over, whatever the reason."""
+        self._dirty = True
+        work = self.work.get(placement.task.job)
+        if work is None:
+            return
+        index = placement.task.number
+        machine = placement.machine
+        now = self.cx.now
+        if why == "done" and not work.job.spec.service:
+            work.finished |= 1 << index
+            machine.errors.clear()
+        elif why == "error":
+            self._failed(work, machine)
+        elif why in ("full", "busy"):
+            machine.full_until = Instant(now + 1.0)
+        elif why == "unknown":
+            work.not_before = Instant(now + 1.0)
+        if (not work.finished >> index & 1 and not work.job.is_done(index)
+                and placement.task not in self.fleet.where and index not in work.pending):
+            work.pending.append(index)
+
+    def _failed(self, work: Work, machine: Machine) -> None:
+        """A machine on which tasks of several jobs fail is set aside; a job that fails on
+        several machines backs off alone."""
+        now = self.cx.now
+        machine.errors[work.job.uid] = now
+        recent = [uid for uid, at in machine.errors.items() if now - at < 120]
+        work.errors[machine.id] = work.errors.get(machine.id, 0) + 1
+        if len(work.errors) >= 3:
+            tries = sum(work.errors.values())
+            work.not_before = Instant(now + min(60.0, 0.5 * 2 ** min(tries - 2, 8)))
+        elif len(recent) >= 2:
+            machine.quarantined_until = Instant(now + 120.0)
+            self.cx.log("warning", f"machine {machine.id}: tasks of {len(recent)} jobs failed,"
+                                   " set aside")
+        else:
+            machine.quarantined_until = max(machine.quarantined_until, Instant(now + 5.0))
+
+    def running(self, placement: Placement) -> None:
+        pass
+
+    def changed(self) -> None:
+        self._dirty = True
+
+    # --- finishes ------------------------------------------------------------------------
+
+    def flush(self) -> None:
+        now = self.cx.now
+        for work in self.work.values():
+            if not work.finished or work.flushing or now < work.retry_at:
+                continue
+            job = work.job
+            complete = (job.done_bits | work.finished).bit_count() >= job.spec.tasks
+            if not complete and now < work.flushed_at + FLUSH_GAP_S:
+                continue
+            if not self.shares.may_command(work.share):
+                continue
+            self._store_finishes(work, complete)
+
+    def _store_finishes(self, work: Work, complete: bool) -> None:
+        job = work.job
+        bits = work.finished
+        work.flushing = True
+        work.flushed_at = self.cx.now
+        first = (bits & -bits).bit_length() - 1
+        pages = [n for n in range(first // PAGE_BITS, (bits.bit_length() - 1) // PAGE_BITS + 1)
+                 if bits >> (n * PAGE_BITS) & ((1 << PAGE_BITS) - 1)]
+        key = JOB + job.uid
+        when = [self.shares.guard(work.share), (key, int(job.stamp))]
+        then: list[tuple[str, Any, int | None]] = [
+            (f"{DONE}{job.uid}/{n}", job.page(n, bits), None) for n in pages
+        ]
+        if complete:
+            then.append((key, job_value(job.spec, "done"), None))
+
+        def done(result: str, stamp: Stamp) -> None:
+            work.flushing = False
+            if result == "ok":
+                work.finished &= ~bits
+            else:
+                work.retry_at = Instant(self.cx.now + FLUSH_GAP_S)
+
+        self.store.commit(when, then, done)
+
+    # --- turns ---------------------------------------------------------------------------
+
+    def turn(self) -> None:
+        now = self.cx.now
+        if not self._dirty or now < self._next_turn:
+            return
+        self._dirty = False
+        self._next_turn = Instant(now + 0.02)
+        for holding in list(self.shares.mine.values()):
+            if self.shares.may_command(holding.number):
+                self._turn(holding)
+            else:
+                self._dirty = True
+
+    def _turn(self, holding: Holding) -> None:
+        now = self.cx.now
+        waiting = []
+        for work in self.work.values():
+            if work.share != holding.number or not work.pending:
+                continue
+            if now < work.not_before:
+                work.waits = "backs off after failures"
+                self._dirty = True
+            elif not holding.settled and work.job.accepted <= holding.epoch:
+                work.waits = "share not settled"
+            else:
+                waiting.append(work)
+        unlocated = self._unlocated(holding)
+        waiting.sort(key=self._urgency)
+        machines = [m for m in self.fleet.of_share(holding.number) if self.fleet.usable(m)]
+        budget = self.cx.operators.turn_budget
+        claimed: set[MachineId] = set()
+        unmet: list[tuple[Job, int]] = []
+        for work in waiting:
+            pool = machines
+            if budget <= 0 and len(machines) > self.cx.operators.sample:
+                # More is asked than a turn can weigh: a random sample of machines.
+                pool = self.cx.rng.sample(machines, self.cx.operators.sample)
+            budget -= len(pool)
+            missing = self._fill(work, pool, claimed, unlocated)
+            if missing:
+                unmet.append((work.job, missing))
+        self.unmet[holding.number] = unmet
+
+    def _urgency(self, work: Work) -> tuple[bool, int, float, str]:
+        job = work.job
+        due = job.submitted + job.spec.deadline_s if job.spec.deadline_s else math.inf
+        return (not self.quota.guaranteed(job), job.spec.rank, due, job.uid)
+
+    def _unlocated(self, holding: Holding) -> dict[Team, Size]:
+        """Tasks that an earlier owner may have started on machines not heard of yet."""
+        if holding.settled:
+            return {}
+        found: dict[Team, Size] = {}
+        for work in self.work.values():
+            job = work.job
+            if work.share == holding.number and job.accepted <= holding.epoch and work.pending:
+                team = Team(job.spec.team)
+                n = len(work.pending)
+                size = Size(job.size.cpus * n, job.size.memory * n, job.size.gpus * n)
+                found[team] = found.get(team, NOTHING).plus(size)
+        return found
+
+    def _permits(self, job: Job, machine: Machine) -> bool:
+        spec = job.spec
+        record = machine.record
+        return (
+            (spec.types is None or record.type in spec.types)
+            and (spec.zone is None or record.zone == spec.zone)
+            and (spec.spot or not record.spot)
+        )
+
+    def _zone_open(self, work: Work, zone: str) -> bool:
+        """`spread` and `together`, given the job's other tasks at this moment."""
+        spec = work.job.spec
+        placed = work.zones.get(zone, 0)
+        if spec.spread and placed >= (spec.tasks + 1) // 2:
+            return False
+        return not (spec.together and any(n for z, n in work.zones.items() if z != zone))
+
+    def _score(self, job: Job, machine: Machine) -> float:
+        assert machine.type is not None
+        score = progress(machine.type.size, machine.used, job.size)
+        # Extension: seconds of fetching saved where the image is held already.
+        if job.spec.image not in machine.images and job.spec.image_gb > 0:
+            rate = machine.type.fetch_gb_per_s or 1.0
+            score -= self.cx.operators.image_weight * job.spec.image_gb / rate
+        return score
+
+    def _fill(self, work: Work, machines: list[Machine], claimed: set[MachineId],
+              unlocated: dict[Team, Size]) -> int:
+        """Start what fits; returns how many tasks found no machine."""
+        job = work.job
+        size = job.size
+        team = Team(job.spec.team)
+        extra = unlocated.get(team, NOTHING)
+        scored: list[list[Any]] = [
+            [self._score(job, m), m] for m in machines
+            if m.id not in claimed and self._permits(job, m) and size.fits(m.room)
+        ]
+        work.waits = ""
+        while work.pending:
+            if not self.quota.allows(job, extra):
+                work.waits = "team limit"
+                return 0
+            task = TaskId(job.uid, work.pending[-1])
+            best: list[Any] | None = None
+            for entry in scored:
+                if ((best is None or entry[0] > best[0])
+                        and self._zone_open(work, entry[1].record.zone)
+                        and not entry[1].holds(task)):
+                    best = entry
+            if best is None:
+                break
+            machine: Machine = best[1]
+            self.fleet.place(job, task.number, machine)
+            if size.fits(machine.room):
+                best[0] = self._score(job, machine)
+            else:
+                scored.remove(best)
+        missing = len(work.pending)
+        if missing:
+            work.waits = "no machine with room"
+            self._make_room(work, machines, claimed, missing)
+        return missing
+
+    def _make_room(self, work: Work, machines: list[Machine], claimed: set[MachineId],
+                   missing: int) -> None:
+        """Stop lesser work where the waiting task then fits; least work lost first."""
+        job = work.job
+        now = self.cx.now
+        guaranteed = self.quota.guaranteed(job)
+        options: list[tuple[float, str, Machine, list[Placement]]] = []
+        for machine in machines:
+            if (machine.id in claimed or not self._permits(job, machine)
+                    or not self._zone_open(work, machine.record.zone)):
+                continue
+            active = [p for p in machine.placements.values() if p.active]
+            room = machine.room
+            for placement in active:
+                if placement.stopping:
+                    room = room.plus(placement.size)
+            victims: list[Placement] = []
+            lost = 0.0
+            candidates = sorted(
+                (p for p in active
+                 if not p.stopping and self.quota.may_stop(job, guaranteed, p)),
+                key=lambda p: self._loss(p, now))
+            for placement in candidates:
+                if job.size.fits(room):
+                    break
+                victims.append(placement)
+                lost += self._loss(placement, now)
+                room = room.plus(placement.size)
+            if job.size.fits(room):
+                options.append((lost, machine.id, machine, victims))
+        options.sort(key=lambda o: (o[0], o[1]))
+        for _, _, machine, victims in options[:missing]:
+            claimed.add(machine.id)
+            for victim in victims:
+                self.cx.log("info", f"{victim.task} stopped for {job.uid}")
+                self.fleet.stop(victim, self._grace(victim))
+
+    def _loss(self, placement: Placement, now: Instant) -> float:
+        if placement.stage != "running" or placement.job is None:
+            return 0.0
+        ran = now - placement.ran_since
+        if placement.job.spec.checkpoint_s > 0:
+            return min(placement.job.spec.save_s, ran)
+        return ran
+
+    def _grace(self, placement: Placement) -> float:
+        spec = placement.job.spec if placement.job else None
+        return spec.save_s if spec and spec.checkpoint_s > 0 else 0.0
+
+    def tick(self) -> None:
+        self.flush()
--- /dev/null
+++ b/runcourse/core/shares.py
@@ -0,0 +1,219 @@
+"""Who owns which share: the table of owners, taking over, giving back.
+
+There are as many shares as nodes, and each has a home node. The stamp of `share/N` is the
+ownership epoch: every write of an owner has it among its conditions.
+"""
+
+from __future__ import annotations
+
+import zlib
+from collections.abc import Callable
+from typing import Any
+
+from .authority import Authority
+from .context import DRIFT, Context
+from .ids import ABSENT, Attempt, Incarnation, Instant, Member, ShareNo, Stamp, Team, make_attempt
+from .store import LIVE, SHARE, Store
+
+HANDBACK_AFTER_S = 6.0  # a returned home node must have been up this long
+
+
+class Holding:
+    """A share that this node owns."""
+
+    __slots__ = ("_attempts", "epoch", "giving", "number", "settled", "since")
+
+    def __init__(self, number: ShareNo, epoch: Stamp, since: Instant) -> None:
+        self.number = number
+        self.epoch = epoch
+        self.since = since
+        self.settled = False  # every task accepted before the takeover is located
+        self.giving = False  # being handed back: command nothing until that is decided
+        self._attempts = 0
+
+    def next_attempt(self) -> Attempt:
+        self._attempts += 1
+        return make_attempt(self.epoch, self._attempts)
+
+
+class Shares:
+    def __init__(self, cx: Context, store: Store, authority: Authority,
+                 on_gain: Callable[[Holding], None], on_loss: Callable[[ShareNo], None]) -> None:
+        self.cx = cx
+        self.store = store
+        self.authority = authority
+        self.mine: dict[ShareNo, Holding] = {}
+        self._on_gain = on_gain
+        self._on_loss = on_loss
+        self._taking: set[ShareNo] = set()
+        self._gone_since: dict[ShareNo, Instant] = {}
+        self._home_since: dict[Member, tuple[Incarnation, Instant]] = {}
+        store.listen(SHARE, self._changed)
+
+    def all(self) -> list[ShareNo]:
+        return [ShareNo(n) for n in range(len(self.cx.members))]
+
+    def of_team(self, team: Team) -> ShareNo:
+        return ShareNo(zlib.crc32(team.encode()) % len(self.cx.members))
+
+    def key(self, share: ShareNo) -> str:
+        return f"{SHARE}{share}"
+
+    def owner(self, share: ShareNo) -> tuple[Member, Incarnation] | None:
+        value = self.store.get(self.key(share))
+        return (Member(value["owner"]), Incarnation(value["inc"])) if value else None
+
+    def living_owner(self, share: ShareNo) -> Member | None:
+        """The owner, if its lease stands."""
+        owner = self.owner(share)
+        if owner and self.authority.live_inc(owner[0]) == owner[1]:
+            return owner[0]
+        return None
+
+    def guard(self, share: ShareNo) -> tuple[str, int]:
+        """The condition that makes a late transaction of a former owner fail."""
+        return (self.key(share), self.mine[share].epoch)
+
+    def may_command(self, share: ShareNo) -> bool:
+        holding = self.mine.get(share)
+        return holding is not None and not holding.giving and self.authority.entitled()
+
+    # --- gaining and losing --------------------------------------------------------------
+
+    def _changed(self, key: str, value: Any, stamp: Stamp) -> None:
+        share = ShareNo(int(key[len(SHARE):]))
+        holding = self.mine.get(share)
+        ours = (
+            value is not None
+            and value["owner"] == self.cx.me
+            and value["inc"] == self.authority.inc
+            and self.authority.live
+        )
+        if holding is not None and (not ours or stamp > holding.epoch):
+            del self.mine[share]
+            self.cx.log("info", f"share {share} lost at epoch {stamp}")
+            self._on_loss(share)
+            holding = None
+        if ours and holding is None:
+            holding = Holding(share, stamp, self.cx.now)
+            self.mine[share] = holding
+            self.cx.log("info", f"share {share} owned, epoch {stamp}")
+            self._on_gain(holding)
+
+    def drop_all(self) -> None:
+        for share in list(self.mine):
+            del self.mine[share]
+            self._on_loss(share)
+        self._taking.clear()
+
+    def _take(self, share: ShareNo, conditions: list[tuple[str, int]]) -> None:
+        if share in self._taking:
+            return
+        self._taking.add(share)
+        key = self.key(share)
+        when = [
+            (key, self.store.stamp(key)),
+            (LIVE + self.cx.me, self.store.stamp(LIVE + self.cx.me)),
+            *conditions,
+        ]
+        value = {"owner": self.cx.me, "inc": self.authority.inc}
+        self.store.commit(when, [(key, value, None)],
+                          lambda result, stamp: self._taking.discard(share), Store.URGENT)
+
+    def tick(self) -> None:
+        if not self.authority.live or self.cx.now >= self.authority.until:
+            return
+        for member in self.cx.members:
+            inc = self.authority.live_inc(member)
+            if inc is None:
+                self._home_since.pop(member, None)
+            elif self._home_since.get(member, (None,))[0] != inc:
+                self._home_since[member] = (inc, self.cx.now)
+        for share in self.all():
+            if share not in self.mine:
+                self._consider(share)
+            else:
+                self._consider_handback(share)
+
+    def _consider(self, share: ShareNo) -> None:
+        owner = self.owner(share)
+        home = self.cx.home(share)
+        now = self.cx.now
+        if owner is None:
+            # Never owned: its home takes it at once, anybody after a while.
+            waited = now - self._gone_since.setdefault(share, now)
+            if home == self.cx.me or (waited > 3 and self.authority.live_inc(home) is None):
+                self._take(share, [])
+            return
+        member, inc = owner
+        if member == self.cx.me:
+            # The process that wrote this under our name is dead, or it was this one before
+            # it lost its lease: no waiting.
+            if inc != self.authority.inc:
+                self._take(share, [])
+            return
+        standing = self.authority.live_inc(member)
+        if standing is not None:
+            self._gone_since.pop(share, None)
+            return
+        since = self._gone_since.setdefault(share, now)
+        self.authority.saw_end(member, inc)
+        if not self.authority.attests(self.cx.me, inc):
+            return
+        others = [m for m in self.cx.members
+                  if m not in (self.cx.me, member) and self.authority.attests(m, inc)]
+        if 1 + len(others) < self.cx.majority:
+            return
+        if now - since < 0.3 * self._turn(share, member):
+            return
+        conditions: list[tuple[str, int]] = [(LIVE + member, ABSENT)]
+        conditions += [(LIVE + m, self.store.stamp(LIVE + m)) for m in others]
+        self._take(share, conditions)
+
+    def _turn(self, share: ShareNo, dead: Member) -> int:
+        """Order in which living nodes try, so that the load of a dead one is shared out."""
+        living = [m for m in self.authority.live_members() if m != dead]
+        if not living:
+            return 0
+        load = {m: 0 for m in living}
+        for other in self.all():
+            owner = self.living_owner(other)
+            if owner in load:
+                load[owner] += 1
+        ranked = sorted(living, key=lambda m: (load[m], m == self.cx.home(share), m))
+        return ranked.index(self.cx.me) if self.cx.me in ranked else 0
+
+    def _consider_handback(self, share: ShareNo) -> None:
+        holding = self.mine[share]
+        home = self.cx.home(share)
+        if home == self.cx.me or holding.giving or not holding.settled:
+            return
+        inc, since = self._home_since.get(home, (None, self.cx.now))
+        if inc is None or self.cx.now - since < HANDBACK_AFTER_S * (1 + DRIFT):
+            return
+        if self.cx.now - holding.since < HANDBACK_AFTER_S:
+            return
+        # From here until the answer nothing is commanded: once stored, the other commands.
+        holding.giving = True
+        self.cx.log("info", f"share {share} handed back to {home}")
+
+        def done(result: str, stamp: Stamp) -> None:
+            if result in ("conflict", "refused"):
+                holding.giving = False
+            elif result == "unknown":
+                self._settle_unknown(holding)
+
+        self.store.commit([self.guard(share), (LIVE + home, self.store.stamp(LIVE + home))],
+                          [(self.key(share), {"owner": home, "inc": inc}, None)], done)
+
+    def _settle_unknown(self, holding: Holding) -> None:
+        """The hand-back may yet be applied: write the share anew, so that it can't."""
+
+        def done(result: str, stamp: Stamp) -> None:
+            if result in ("unknown", "refused") and holding.number in self.mine:
+                self._settle_unknown(holding)
+
+        if self.mine.get(holding.number) is holding:
+            value = {"owner": self.cx.me, "inc": self.authority.inc}
+            self.store.commit([self.guard(holding.number)],
+                              [(self.key(holding.number), value, None)], done)
--- /dev/null
+++ b/runcourse/core/store.py
@@ -0,0 +1,225 @@
+"""This node's copy of the state service, kept by catch-up reads, and the way to change it.
+
+A catch-up read (`Follow` without waiting) begun after a question arrived makes the copy
+recent enough to answer it; one read serves all questions that wait. Budgets are token
+buckets: reads that questions ask for are spaced, changes are queued by urgency.
+"""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+from collections.abc import Callable
+from typing import Any
+
+from .context import Context
+from .ids import ABSENT, LONG_AGO, Instant, Stamp
+from .types import Commit, Follow, Outcome, ReadAll
+
+ROOT = "rc/"
+LIVE = ROOT + "live/"
+LEADER = ROOT + "leader"
+SHARE = ROOT + "share/"
+MACHINE = ROOT + "machine/"
+JOB = ROOT + "job/"
+DONE = ROOT + "done/"
+CATALOG = ROOT + "catalog"
+
+Listener = Callable[[str, Any, Stamp], None]
+Waiter = Callable[[bool], None]
+Result = Callable[[str, Stamp], None]  # ok, conflict, refused, unknown, nolease; and the stamp
+Put = tuple[str, Any, int | None]
+
+
+class Bucket:
+    """A token bucket on the core's clock."""
+
+    def __init__(self, rate: float, burst: float) -> None:
+        self.rate = rate
+        self.burst = burst
+        self.level = burst
+        self.at = Instant(0.0)
+
+    def refill(self, now: Instant) -> None:
+        self.level = min(self.burst, self.level + (now - self.at) * self.rate)
+        self.at = now
+
+    def wait(self, now: Instant, cost: float) -> float:
+        """Seconds until `cost` may be taken; 0 takes it."""
+        self.refill(now)
+        if self.level >= min(cost, self.burst):
+            self.level -= cost
+            return 0.0
+        return (min(cost, self.burst) - self.level) / self.rate
+
+
+class Store:
+    URGENT, OWNER, USER, LATER = range(4)
+
+    def __init__(self, cx: Context) -> None:
+        self.cx = cx
+        self.applied = Stamp(0)
+        self.values: dict[str, Any] = {}
+        self.stamps: dict[str, Stamp] = {}
+        self.ready = False
+        self.last_synced = LONG_AGO  # when the newest successful read was sent
+        self.last_contact = LONG_AGO
+        self.failing = False  # the newest answer was a failure
+        self.failed_at = LONG_AGO
+        self._listeners: list[tuple[str, Listener]] = []
+        self._reading = False
+        self._read_began = LONG_AGO
+        self._waiters: list[Waiter] = []
+        self._queue: list[tuple[int, int, Commit]] = []
+        self._order = itertools.count()
+        nodes = len(cx.members)
+        state = cx.platform.settings.state
+        self._gap = nodes / (0.4 * state.rps)
+        share = state.write_rps / nodes
+        self._writes = Bucket(share * 0.95, max(share, 4.0))
+        self._paused_until = LONG_AGO
+
+    # --- copy ----------------------------------------------------------------------------
+
+    def listen(self, prefix: str, listener: Listener) -> None:
+        self._listeners.append((prefix, listener))
+
+    def stamp(self, key: str) -> Stamp:
+        return self.stamps.get(key, ABSENT) if key in self.values else ABSENT
+
+    def get(self, key: str) -> Any:
+        return self.values.get(key)
+
+    def _change(self, key: str, value: Any, stamp: Stamp) -> None:
+        # Own changes are applied when they are answered, so a read may bring them again,
+        # and an older state of the key with them: the stamp of the key decides.
+        if stamp <= self.stamps.get(key, ABSENT):
+            return
+        self.stamps[key] = stamp
+        if value is None:
+            if key not in self.values:
+                return
+            del self.values[key]
+        else:
+            self.values[key] = value
+        for prefix, listener in self._listeners:
+            if key.startswith(prefix):
+                listener(key, value, stamp)
+                break
+
+    # --- reading -------------------------------------------------------------------------
+
+    def sync(self, waiter: Waiter | None = None) -> None:
+        """Ask for a catch-up read begun from now on; the waiter hears whether it worked."""
+        self._waiters.append(waiter or (lambda ok: None))
+        self._start_read()
+
+    def tick(self) -> None:
+        now = self.cx.now
+        if self._reading:
+            pass
+        elif not self.ready:
+            if now >= self.failed_at + 0.2:
+                self._start_read()
+        elif self._waiters or now >= self._read_began + self.cx.operators.sync_every:
+            self._start_read()
+        self._flush()
+
+    def _start_read(self) -> None:
+        now = self.cx.now
+        if self._reading or now < self._read_began + self._gap:
+            return
+        # Rejected reads must not turn into a storm while the service is down.
+        if self.failing and now < self._read_began + 0.15:
+            return
+        self._reading = True
+        self._read_began = now
+        waiters, self._waiters = self._waiters, []
+
+        def done(outcome: Outcome) -> None:
+            self._reading = False
+            self._read(outcome, now, waiters)
+            if self._waiters:
+                self._start_read()
+
+        if self.ready:
+            self.cx.out.append(Follow(done, self.applied))
+        else:
+            self.cx.out.append(ReadAll(done))
+
+    def _read(self, outcome: Outcome, sent: Instant, waiters: list[Waiter]) -> None:
+        ok = outcome.status == 200
+        self.note_contact(ok, outcome.status, sent)
+        if ok:
+            changes, epoch = outcome.body
+            if not self.ready:
+                present = {key for key, _, _ in changes}
+                for key in [k for k in self.values if k not in present]:
+                    self._change(key, None, Stamp(epoch))
+                self.ready = True
+            for key, value, stamp in changes:
+                self._change(key, value, Stamp(stamp))
+            self.applied = Stamp(max(self.applied, epoch))
+            self.last_synced = max(self.last_synced, sent)
+        elif outcome.status == 410:
+            self.ready = False  # too far behind: read everything again
+        for waiter in waiters:
+            waiter(ok)
+
+    def note_contact(self, ok: bool, status: int, sent: Instant) -> None:
+        if ok:
+            self.last_contact = max(self.last_contact, sent)
+            self.failing = False
+        elif status not in (404, 409, 410, 429):
+            self.failing = True
+            self.failed_at = self.cx.now
+
+    # --- changing ------------------------------------------------------------------------
+
+    @property
+    def backlog(self) -> float:
+        """Seconds that a change asked for now would wait at the least."""
+        return sum(len(c.then) for _, _, c in self._queue) / self._writes.rate
+
+    def commit(self, when: list[tuple[str, int]], then: list[Put], result: Result,
+               urgency: int = OWNER) -> None:
+        def done(outcome: Outcome) -> None:
+            status = outcome.status
+            if status == 200:
+                stamp = Stamp(int(outcome.body))
+                self.note_contact(True, 200, Instant(outcome.began))
+                for key, value, _ in then:
+                    self._change(key, value, stamp)
+                result("ok", stamp)
+            elif status == 409:
+                self.note_contact(True, 409, Instant(outcome.began))
+                self.sync()
+                result("conflict", ABSENT)
+            elif status == 400:
+                result("nolease", ABSENT)
+            elif status in (429, 503) or (status == 0 and not outcome.sent):
+                self.note_contact(False, status, Instant(outcome.began))
+                if status == 429:
+                    self._paused_until = Instant(self.cx.now + 0.1)
+                result("refused", ABSENT)
+            else:
+                self.note_contact(False, status, Instant(outcome.began))
+                self.sync()
+                result("unknown", ABSENT)
+
+        commit = Commit(done, when, then)
+        heapq.heappush(self._queue, (urgency, next(self._order), commit))
+        self._flush()
+
+    def _flush(self) -> None:
+        now = self.cx.now
+        while self._queue:
+            urgency, _, commit = self._queue[0]
+            if urgency != self.URGENT:
+                if now < self._paused_until or self._writes.wait(now, len(commit.then)) > 0:
+                    return
+            else:
+                self._writes.refill(now)
+                self._writes.level -= len(commit.then)
+            heapq.heappop(self._queue)
+            self.cx.out.append(commit)
--- /dev/null
+++ b/runcourse/core/types.py
@@ -0,0 +1,234 @@
+"""Values that pass between the core and the world: inputs, effects and their parts."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import Any, NamedTuple
+
+from .ids import NO_TOKEN, Attempt, MachineId, Member, Session, TaskId, Token
+from .jobs import JobSpec
+from .placement import Size
+
+
+class MachineType(NamedTuple):
+    name: str
+    cpus: float
+    memory: float
+    gpus: float
+    cache_gb: float
+    fetch_gb_per_s: float
+    price: float
+    spot_price: float
+    boot_s: float
+    zones: tuple[str, ...]
+
+    @property
+    def size(self) -> Size:
+        return Size(self.cpus, self.memory, self.gpus)
+
+
+class CloudMachine(NamedTuple):
+    id: MachineId
+    addr: str
+    type: str
+    zone: str
+    spot: bool
+    stage: str
+    age_s: float
+
+
+class TaskReport(NamedTuple):
+    task: TaskId
+    attempt: Attempt
+    stage: str  # fetching, running, saving, ended
+    cause: str = ""  # when ended: done, stopped, error, full, busy, unknown
+    saved: bool = False
+
+
+class Report(NamedTuple):
+    machine: MachineId
+    addr: str
+    type: str
+    zone: str
+    spot: bool
+    session: Session
+    seq: int
+    token: Token
+    notice_s: float | None
+    tasks: tuple[TaskReport, ...]
+
+
+class Order(NamedTuple):
+    op: str  # start, stop, forget
+    task: TaskId
+    attempt: Attempt
+    grace_s: float = 0.0
+
+
+# --- inputs ------------------------------------------------------------------------------
+
+
+@dataclass(slots=True)
+class Submit:
+    """`spec` is None when the submission is faulty: then `fault` says why."""
+
+    request: int
+    uid: str
+    spec: JobSpec | None
+    fault: str = ""
+
+
+@dataclass(slots=True)
+class Poll:
+    request: int
+    uid: str
+
+
+@dataclass(slots=True)
+class Withdraw:
+    request: int
+    uid: str
+
+
+@dataclass(slots=True)
+class Health:
+    request: int
+
+
+@dataclass(slots=True)
+class Beat:
+    """A worker's report: received here, or passed on by a peer (`relayed_by`)."""
+
+    request: int
+    report: Report
+    relayed_by: Member | None = None
+
+
+@dataclass(slots=True)
+class Tick:
+    pass
+
+
+@dataclass(slots=True)
+class Outcome:
+    """The result of an effect that asked for one: `tag` is the effect's.
+
+    status 0 with `sent` false: surely never sent; with `sent` true: fate unknown.
+    """
+
+    tag: Any
+    status: int
+    body: Any = None
+    sent: bool = True
+    began: float = 0.0  # when the request was handed to the network
+
+
+@dataclass(slots=True)
+class PeerSaid:
+    member: Member
+    message: dict[str, Any]
+
+
+# --- effects -----------------------------------------------------------------------------
+
+
+@dataclass(slots=True)
+class Answer:
+    request: int
+    status: int
+    body: dict[str, Any]
+    retry_after: float | None = None
+
+
+@dataclass(slots=True)
+class AnswerBeat:
+    """A report's answer: 200 with token and orders, 421 with the owner, or 503."""
+
+    request: int
+    status: int
+    token: Token = NO_TOKEN
+    orders: tuple[Order, ...] = ()
+    owner: Member | None = None
+
+
+@dataclass(slots=True)
+class ReadAll:
+    tag: Any
+
+
+@dataclass(slots=True)
+class Follow:
+    tag: Any
+    since: int
+
+
+@dataclass(slots=True)
+class Commit:
+    """Atomic change: `then` holds (key, value, grant); a value of None drops the key."""
+
+    tag: Any
+    when: list[tuple[str, int]]
+    then: list[tuple[str, Any, int | None]]
+
+
+@dataclass(slots=True)
+class Grant:
+    tag: Any
+    ttl_ms: int
+
+
+@dataclass(slots=True)
+class Extend:
+    tag: Any
+    grant: int
+
+
+@dataclass(slots=True)
+class Command:
+    """Orders straight to a worker."""
+
+    tag: Any
+    addr: str
+    token: Token
+    session: Session
+    orders: tuple[Order, ...]
+
+
+@dataclass(slots=True)
+class ReadCatalog:
+    tag: Any
+
+
+@dataclass(slots=True)
+class ListMachines:
+    tag: Any
+
+
+@dataclass(slots=True)
+class Rent:
+    tag: Any
+    name: str
+    type: str
+    zone: str
+    spot: bool
+    number: int
+
+
+@dataclass(slots=True)
+class Release:
+    tag: Any
+    machines: list[MachineId] = field(default_factory=list)
+
+
+@dataclass(slots=True)
+class Say:
+    """A message to one peer, or to all of them when `member` is None."""
+
+    member: Member | None
+    message: dict[str, Any]
+
+
+@dataclass(slots=True)
+class Log:
+    level: str  # debug, info, warning, error
+    text: str
--- /dev/null
+++ b/runcourse/core/users.py
@@ -0,0 +1,212 @@
+"""Submissions, polls and cancellations. Every node answers them itself, against the store.
+
+Whatever can't be answered now is refused at once, with the time to come back after.
+"""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Callable
+from typing import Any
+
+from ..wire.messages import job_state
+from .authority import Authority
+from .context import Context
+from .ids import ABSENT, JobId, ShareNo, Stamp, Team
+from .jobs import UID, Job, Jobs, JobSpec, job_value
+from .machines import Fleet
+from .quota import Quota
+from .shares import Shares
+from .store import JOB, LIVE, Store
+from .types import Answer, Poll, Say, Submit, Withdraw
+
+MAX_QUEUED = 400  # questions waiting for one catch-up read
+MAX_BACKLOG_S = 0.7  # changes waiting for the write budget
+
+
+class Users:
+    def __init__(self, cx: Context, store: Store, authority: Authority, shares: Shares,
+                 jobs: Jobs, quota: Quota, fleet: Fleet) -> None:
+        self.cx = cx
+        self.store = store
+        self.authority = authority
+        self.shares = shares
+        self.jobs = jobs
+        self.quota = quota
+        self.fleet = fleet
+        self.running: dict[JobId, int] = {}  # as owners told it; may lag
+        self._waiting = 0
+
+    # --- answers -------------------------------------------------------------------------
+
+    def refuse(self, request: int, status: int = 503, after: float = 1.0,
+               why: str = "not now") -> None:
+        self.cx.out.append(Answer(request, status, {"error": why}, after))
+
+    def _state(self, job: Job) -> dict[str, Any]:
+        if job.final:
+            done = job.spec.tasks if job.stage == "done" else job.done_count
+            return job_state(job.uid, job.stage, done, 0)
+        share = self.shares.of_team(Team(job.spec.team))
+        running = (self.fleet.running_of(job.uid) if share in self.shares.mine
+                   else self.running.get(job.uid, 0))
+        done = min(job.done_count, job.spec.tasks)
+        return job_state(job.uid, "running" if running else "queued", done, running)
+
+    def _after_sync(self, request: int, then: Callable[[], None]) -> None:
+        """Run `then` once a catch-up read begun from now on has succeeded."""
+        if not self.store.ready or self.store.failing or self._waiting >= MAX_QUEUED:
+            self.refuse(request, 503, 1.0, "no contact with the state service")
+            return
+        self._waiting += 1
+
+        def waiter(ok: bool) -> None:
+            self._waiting -= 1
+            if ok:
+                then()
+            else:
+                self.refuse(request, 503, 1.0, "no contact with the state service")
+
+        self.store.sync(waiter)
+
+    # --- polls ---------------------------------------------------------------------------
+
+    def poll(self, ask: Poll) -> None:
+        uid = JobId(ask.uid)
+        if not UID.match(uid):
+            self.cx.out.append(Answer(ask.request, 404, {"error": "no such job"}))
+            return
+        if self._answer_final(ask.request, uid):
+            return
+
+        def then() -> None:
+            job = self.jobs.get(uid)
+            if job is None:
+                self.cx.out.append(Answer(ask.request, 404, {"error": "no such job"}))
+            else:
+                self.cx.out.append(Answer(ask.request, 200, self._state(job)))
+
+        self._after_sync(ask.request, then)
+
+    def _answer_final(self, request: int, uid: JobId) -> bool:
+        job = self.jobs.get(uid)
+        if job is not None and job.final:
+            self.cx.out.append(Answer(request, 200, self._state(job)))
+            return True
+        return False
+
+    # --- submissions ---------------------------------------------------------------------
+
+    def submit(self, ask: Submit) -> None:
+        uid = JobId(ask.uid)
+        if uid and self._answer_final(ask.request, uid):
+            return
+        if not uid:
+            self.cx.out.append(Answer(ask.request, 400, {"error": ask.fault}))
+        elif self.jobs.get(uid) is not None:
+            self._after_sync(ask.request, lambda: self._known(ask.request, uid))
+        elif ask.spec is None:
+            # The id may be that of an accepted job: then the answer is its state.
+            self._verdict(ask.request, uid, 400, ask.fault)
+        elif not self.fleet.types:
+            self.refuse(ask.request, 503, 1.0, "machine types not known yet")
+        else:
+            problem = self._impossible(ask.spec)
+            if problem:
+                self._verdict(ask.request, uid, 422, problem)
+            else:
+                self._create(ask.request, ask.spec)
+
+    def _known(self, request: int, uid: JobId) -> None:
+        job = self.jobs.get(uid)
+        if job is None:
+            self.refuse(request)
+        else:
+            self.cx.out.append(Answer(request, 200, self._state(job)))
+
+    def _verdict(self, request: int, uid: JobId, status: int, why: str) -> None:
+        def then() -> None:
+            if self.jobs.get(uid) is not None:
+                self._known(request, uid)
+            else:
+                self.cx.out.append(Answer(request, status, {"error": why}))
+
+        self._after_sync(request, then)
+
+    def _impossible(self, spec: JobSpec) -> str | None:
+        refused = self.quota.refuses(Job(spec, ABSENT))
+        if refused:
+            return refused
+        for machine_type in self.fleet.types.values():
+            if spec.types is not None and machine_type.name not in spec.types:
+                continue
+            if not spec.size.fits(machine_type.size):
+                continue
+            if spec.zone is not None and machine_type.zones and spec.zone not in machine_type.zones:
+                continue
+            return None
+        return "a task fits no allowed machine type"
+
+    def _create(self, request: int, spec: JobSpec) -> None:
+        uid = JobId(spec.uid)
+        if not self.store.ready or self.store.failing:
+            self.refuse(request, 503, 1.0, "no contact with the state service")
+            return
+        backlog = self.store.backlog
+        if backlog > MAX_BACKLOG_S:
+            self.refuse(request, 429, math.ceil(backlog), "too many submissions at once")
+            return
+
+        def result(outcome: str, stamp: Stamp) -> None:
+            if outcome == "ok":
+                self.cx.out.append(Answer(request, 201, job_state(uid, "queued")))
+                self.tell_owner(self.shares.of_team(Team(spec.team)), {"t": "sync"})
+            elif outcome == "conflict":
+                self._after_sync(request, lambda: self._known(request, uid))
+            else:
+                self.refuse(request, 503, 1.0, "not stored")
+
+        self.store.commit([(JOB + uid, ABSENT)], [(JOB + uid, job_value(spec, "accepted"), None)],
+                          result, Store.USER)
+
+    def tell_owner(self, share: ShareNo, message: dict[str, Any]) -> None:
+        owner = self.shares.living_owner(share)
+        if owner is not None and owner != self.cx.me:
+            self.cx.out.append(Say(owner, message))
+
+    # --- cancellations -------------------------------------------------------------------
+
+    def withdraw(self, ask: Withdraw) -> None:
+        uid = JobId(ask.uid)
+        if not UID.match(uid):
+            self.cx.out.append(Answer(ask.request, 404, {"error": "no such job"}))
+        elif not self._answer_final(ask.request, uid):
+            self._after_sync(ask.request, lambda: self._cancel(ask.request, uid, 3))
+
+    def _cancel(self, request: int, uid: JobId, tries: int) -> None:
+        job = self.jobs.get(uid)
+        if job is None:
+            self.cx.out.append(Answer(request, 404, {"error": "no such job"}))
+            return
+        if self._answer_final(request, uid):
+            return
+        share = self.shares.of_team(Team(job.spec.team))
+        owner = self.shares.living_owner(share)
+        if owner is None:
+            # Nobody is certain to hear of it in time: a former owner may be vouched for.
+            self.refuse(request, 503, 1.0, "the job's share has no owner at the moment")
+            return
+        key = JOB + uid
+
+        def result(outcome: str, stamp: Stamp) -> None:
+            if outcome == "ok":
+                self.tell_owner(share, {"t": "sync"})
+                self._answer_final(request, uid)
+            elif outcome == "conflict" and tries > 1:
+                self._after_sync(request, lambda: self._cancel(request, uid, tries - 1))
+            else:
+                self.refuse(request, 503, 1.0, "not stored")
+
+        # The owner's live key stands: it hears of this, or it loses its authority in time.
+        self.store.commit([(key, int(job.stamp)), (LIVE + owner, self.store.stamp(LIVE + owner))],
+                          [(key, job_value(job.spec, "cancelled"), None)], result, Store.OWNER)
--- /dev/null
+++ b/runcourse/daemon.py
@@ -0,0 +1,189 @@
+"""The process round the core: sockets, timers, and effects carried out."""
+
+from __future__ import annotations
+
+import asyncio
+import gc
+import logging
+import random
+from collections.abc import Coroutine
+from typing import Any
+
+from .config import Operators, Platform, address
+from .core import types as t
+from .core.ids import Instant, Member
+from .core.node import Node
+from .core.store import ROOT
+from .net.clients import Cloud, Result, StateService, Workers
+from .net.http import Reply, Server
+from .net.peers import PeerLinks
+from .wire import messages as wire
+
+log = logging.getLogger("runcourse")
+
+TICK_S = 0.05
+USER_S = 3.5
+BEAT_S = 3.5
+LEVELS = {"debug": logging.DEBUG, "info": logging.INFO, "warning": logging.WARNING,
+          "error": logging.ERROR}
+
+
+class Daemon:
+    def __init__(self, platform: Platform, operators: Operators,
+                 rng: random.Random | None = None) -> None:
+        self._platform = platform
+        self._loop = asyncio.get_running_loop()
+        self.node = Node(platform, operators, rng or random.Random(),
+                         Instant(self._loop.time()))
+        self._state = StateService(*address(platform.services.state, "services.state"))
+        self._cloud = Cloud(*address(platform.services.cloud, "services.cloud"),
+                            platform.settings.cloud.rps)
+        self._workers = Workers()
+        peers = {Member(p.member): address(p.addr, "peers") for p in platform.peers}
+        self._links = PeerLinks(Member(platform.member), peers, self._heard, self._operators_ask)
+        limit = max(16, int(platform.settings.quota.fd_limit * 0.7))
+        self._server = Server(self._serve, limit)
+        self._requests = 0
+        self._answers: dict[int, asyncio.Future[Any]] = {}
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    async def run(self) -> None:
+        await self.start()
+        gc.collect()
+        gc.freeze()
+        while True:
+            self._feed(t.Tick())
+            await asyncio.sleep(TICK_S)
+
+    async def start(self) -> None:
+        await self._server.start(*address(self._platform.api_addr, "api_addr"))
+        await self._links.start(*address(self._platform.internal_addr, "internal_addr"))
+        log.info("serving as %s", self._platform.member)
+
+    async def close(self) -> None:
+        for task in list(self._tasks):
+            task.cancel()
+        await self._server.close()
+        await self._links.close()
+
+    # --- core ----------------------------------------------------------------------------
+
+    def _feed(self, event: Any) -> None:
+        for effect in self.node.handle(self._loop.time(), event):
+            self._carry_out(effect)
+
+    def _carry_out(self, effect: Any) -> None:
+        match effect:
+            case t.Answer() | t.AnswerBeat():
+                future = self._answers.pop(effect.request, None)
+                if future is not None and not future.done():
+                    future.set_result(effect)
+            case t.Log():
+                log.log(LEVELS[effect.level], "%s", effect.text)
+            case t.Say():
+                self._links.send(effect.member, effect.message)
+            case t.Follow():
+                self._start(effect.tag, self._state.follow(ROOT, effect.since))
+            case t.ReadAll():
+                self._start(effect.tag, self._state.read_all(ROOT))
+            case t.Commit():
+                self._start(effect.tag, self._state.commit(effect))
+            case t.Grant():
+                self._start(effect.tag, self._state.grant(effect.ttl_ms))
+            case t.Extend():
+                self._start(effect.tag, self._state.extend(effect.grant))
+            case t.Command():
+                self._start(effect.tag, self._workers.command(effect))
+            case t.ReadCatalog():
+                self._start(effect.tag, self._cloud.catalog())
+            case t.ListMachines():
+                self._start(effect.tag, self._cloud.list_machines())
+            case t.Rent():
+                self._start(effect.tag, self._cloud.rent(effect))
+            case t.Release():
+                self._start(effect.tag, self._cloud.release(effect.machines))
+            case _:
+                raise TypeError(f"unknown effect {effect!r}")
+
+    def _start(self, tag: Any, work: Coroutine[Any, Any, Result]) -> None:
+        began = self._loop.time()
+
+        async def go() -> None:
+            status, body, sent = await work
+            self._feed(t.Outcome(tag, status, body, sent, began))
+
+        task = asyncio.create_task(go())
+        self._tasks.add(task)
+        task.add_done_callback(self._ended)
+
+    def _ended(self, task: asyncio.Task[None]) -> None:
+        self._tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            log.error("internal error", exc_info=task.exception())
+
+    def _heard(self, member: Member, message: dict[str, Any]) -> None:
+        self._feed(t.PeerSaid(member, message))
+
+    def _operators_ask(self, question: dict[str, Any]) -> dict[str, Any]:
+        return {"error": "unknown question"}
+
+    # --- requests ------------------------------------------------------------------------
+
+    async def _ask(self, event: Any, timeout_s: float) -> Any:
+        """Feed a request to the core and wait for its answer."""
+        self._requests += 1
+        event.request = self._requests
+        future: asyncio.Future[Any] = self._loop.create_future()
+        self._answers[event.request] = future
+        self._feed(event)
+        try:
+            async with asyncio.timeout(timeout_s):
+                return await future
+        except TimeoutError:
+            self._answers.pop(event.request, None)
+            return None
+
+    async def _serve(self, method: str, target: str, body: bytes) -> Reply:
+        path = target.partition("?")[0]
+        try:
+            if path == "/agent/beat":
+                return await self._beat(body) if method == "POST" else Reply(405)
+            if path == "/healthz":
+                return await self._user(t.Health(0)) if method == "GET" else Reply(405)
+            if path == "/v1/jobs":
+                return await self._submit(body) if method == "POST" else Reply(405)
+            parts = path.split("/")
+            if path.startswith("/v1/jobs/") and len(parts) == 4:
+                return await self._user(t.Poll(0, parts[3])) if method == "GET" else Reply(405)
+            if path.startswith("/v1/jobs/") and len(parts) == 5 and parts[4] == "withdraw":
+                return (await self._user(t.Withdraw(0, parts[3])) if method == "POST"
+                        else Reply(405))
+            return Reply(404, wire.encode({"error": "no such path"}))
+        except wire.Malformed as problem:
+            return Reply(400, wire.encode({"error": str(problem)}))
+
+    async def _submit(self, body: bytes) -> Reply:
+        fields = wire.decode_map(body)
+        uid = wire.submission_uid(fields) or ""
+        try:
+            event = t.Submit(0, uid, wire.submission(fields))
+            if len(body) > self._platform.settings.state.value_kb * 1024 * 0.8:
+                event = t.Submit(0, uid, None, "larger than the state service can hold")
+        except wire.Malformed as problem:
+            event = t.Submit(0, uid, None, str(problem))
+        return await self._user(event)
+
+    async def _user(self, event: Any) -> Reply:
+        answer: t.Answer | None = await self._ask(event, USER_S)
+        if answer is None:
+            return Reply(503, wire.encode({"error": "no answer in time"}), 1.0)
+        return Reply(answer.status, wire.encode(answer.body), answer.retry_after)
+
+    async def _beat(self, body: bytes) -> Reply:
+        report = wire.report(wire.decode_map(body))
+        answer: t.AnswerBeat | None = await self._ask(t.Beat(0, report), BEAT_S)
+        if answer is None or answer.status == 503:
+            return Reply(503, wire.encode({}))
+        if answer.status == 421:
+            return Reply(421, wire.encode(wire.redirect(answer.owner)))
+        return Reply(200, wire.encode(wire.report_answer(answer.token, answer.orders)))
--- /dev/null
+++ b/runcourse/net/clients.py
@@ -0,0 +1,162 @@
+"""The outside systems as the core sees them: each effect becomes one Outcome."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections import OrderedDict
+from collections.abc import Callable
+from typing import Any
+
+from ..core import types as t
+from ..wire import messages as wire
+from .http import Client, NotSent, Unanswered
+
+log = logging.getLogger("runcourse.net")
+
+READ_S = 1.5
+COMMIT_S = 2.5
+RENEW_S = 1.0
+CLOUD_S = 8.0
+COMMAND_S = 2.0
+MAX_WORKER_CLIENTS = 256
+PAGE = 1000
+
+Result = tuple[int, Any, bool]
+
+
+class Caller:
+    """Counts and logs what malformed answers there are, once for each kind."""
+
+    def __init__(self) -> None:
+        self.malformed: dict[str, int] = {}
+
+    async def call(self, client: Client, method: str, target: str, body: Any, timeout_s: float,
+                   read: Callable[[dict[str, Any]], Any], also: tuple[int, ...] = ()) -> Result:
+        """(status, what `read` makes of a good answer, whether it may have been sent)"""
+        data = wire.encode(body) if body is not None else None
+        try:
+            status, answer = await client.request(method, target, data, timeout_s)
+        except NotSent:
+            return 0, None, False
+        except Unanswered:
+            return 0, None, True
+        if status != 200 and status not in also:
+            return status, None, True
+        try:
+            return status, read(wire.decode_map(answer)), True
+        except wire.Malformed as problem:
+            place = f"{client.host}:{client.port} {method} {target.partition('?')[0]}"
+            if place not in self.malformed:
+                log.warning("malformed answer from %s: %s", place, problem)
+            self.malformed[place] = self.malformed.get(place, 0) + 1
+            return 0, None, True  # as good as no answer
+
+
+class StateService(Caller):
+    def __init__(self, host: str, port: int) -> None:
+        super().__init__()
+        self._client = Client(host, port, limit=12)
+        self._renewals = Client(host, port, limit=2)
+
+    async def read_all(self, root: str) -> Result:
+        """Every key, and the revision from which on changes must be followed."""
+        changes: list[wire.Change] = []
+        epoch: int | None = None
+        since = ""
+        while True:
+            target = f"/keys?under={root}&most={PAGE}" + (f"&since={since}" if since else "")
+            status, page, sent = await self.call(self._client, "GET", target, None, 4.0, wire.page)
+            if status != 200:
+                return status, None, sent
+            if epoch is None:
+                epoch = page.epoch
+            changes.extend((p.key, p.value, p.stamp) for p in page.pairs)
+            if not page.has_next or not page.pairs:
+                return 200, (changes, epoch), True
+            since = page.pairs[-1].key
+
+    async def follow(self, root: str, since: int) -> Result:
+        return await self.call(self._client, "GET",
+                               f"/follow?under={root}&since={since}&wait_ms=0", None, READ_S,
+                               wire.events)
+
+    async def commit(self, effect: t.Commit) -> Result:
+        return await self.call(self._client, "POST", "/commit",
+                               wire.transaction(effect.when, effect.then), COMMIT_S,
+                               wire.committed)
+
+    async def grant(self, ttl_ms: int) -> Result:
+        return await self.call(self._renewals, "POST", "/leases", {"life_ms": ttl_ms}, RENEW_S,
+                               wire.granted)
+
+    async def extend(self, grant: int) -> Result:
+        return await self.call(self._renewals, "POST", f"/leases/{grant}/extend", {}, RENEW_S,
+                               lambda body: None)
+
+
+class Cloud(Caller):
+    """Keeps within the cloud's budget by spacing its requests."""
+
+    def __init__(self, host: str, port: int, rps: float) -> None:
+        super().__init__()
+        self._client = Client(host, port, limit=4, connect_s=2.0)
+        self._gap = 1.0 / (0.8 * rps)
+        self._next = 0.0
+
+    async def _turn(self) -> None:
+        loop = asyncio.get_running_loop()
+        at = max(self._next, loop.time())
+        self._next = at + self._gap
+        if at > loop.time():
+            await asyncio.sleep(at - loop.time())
+
+    async def _paced(self, method: str, target: str, body: Any,
+                     read: Callable[[dict[str, Any]], Any]) -> Result:
+        await self._turn()
+        return await self.call(self._client, method, target, body, CLOUD_S, read)
+
+    async def catalog(self) -> Result:
+        return await self._paced("GET", "/catalog", None, wire.catalog)
+
+    async def list_machines(self) -> Result:
+        machines: list[t.CloudMachine] = []
+        since: str | None = None
+        while True:
+            status, body, sent = await self._paced("GET", wire.list_path(since, 500), None,
+                                                   wire.cloud_list)
+            if status != 200:
+                return status, None, sent
+            page, more = body
+            machines.extend(page)
+            if not more or not page:
+                return 200, tuple(machines), True
+            since = page[-1].id
+
+    async def rent(self, e: t.Rent) -> Result:
+        return await self._paced("POST", "/machines",
+                                 wire.hire(e.name, e.type, e.zone, e.spot, e.number), wire.hired)
+
+    async def release(self, machines: list[Any]) -> Result:
+        return await self._paced("POST", "/machines/release", wire.release(machines),
+                                 lambda body: None)
+
+
+class Workers(Caller):
+    def __init__(self) -> None:
+        super().__init__()
+        self._clients: OrderedDict[str, Client] = OrderedDict()
+
+    async def command(self, effect: t.Command) -> Result:
+        client = self._clients.get(effect.addr)
+        if client is None:
+            host, _, port = effect.addr.rpartition(":")
+            if not host or not port.isdigit():
+                return 0, None, False
+            client = self._clients[effect.addr] = Client(host, int(port), limit=1)
+            while len(self._clients) > MAX_WORKER_CLIENTS:
+                self._clients.popitem(last=False)[1].close()
+        self._clients.move_to_end(effect.addr)
+        return await self.call(client, "POST", "/do",
+                               wire.commands(effect.token, effect.session, effect.orders),
+                               COMMAND_S, wire.report, also=(409,))
--- /dev/null
+++ b/runcourse/net/http.py
@@ -0,0 +1,230 @@
+"""HTTP/1.1 over asyncio streams, with h11: a server, and a client with pooled connections."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import logging
+from collections import deque
+from collections.abc import Awaitable, Callable
+from typing import NamedTuple
+
+import h11
+
+from ..wire.messages import CONTENT_TYPE, MAX_BODY
+
+log = logging.getLogger("runcourse.http")
+
+READ_SIZE = 65536
+IDLE_S = 75.0
+BODY_S = 10.0
+REASONS = {200: b"OK", 201: b"Created", 400: b"Bad Request", 404: b"Not Found",
+           405: b"Method Not Allowed", 413: b"Content Too Large", 421: b"Misdirected Request",
+           422: b"Unprocessable Content", 429: b"Too Many Requests", 431: b"Headers Too Large",
+           503: b"Service Unavailable"}
+
+
+class Reply(NamedTuple):
+    status: int
+    body: bytes = b""
+    retry_after: float | None = None
+    content_type: str = CONTENT_TYPE
+
+
+Handler = Callable[[str, str, bytes], Awaitable[Reply]]
+
+
+class Server:
+    """Serves one handler; faults of a client end its connection, never the process."""
+
+    def __init__(self, handler: Handler, max_connections: int) -> None:
+        self._handler = handler
+        self._max = max_connections
+        self._open = 0
+        self._server: asyncio.Server | None = None
+
+    async def start(self, host: str, port: int) -> None:
+        self._server = await asyncio.start_server(self._serve, host, port, backlog=256)
+
+    @property
+    def port(self) -> int:
+        assert self._server is not None
+        return int(self._server.sockets[0].getsockname()[1])
+
+    async def close(self) -> None:
+        if self._server is not None:
+            self._server.close()
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        if self._open >= self._max:
+            writer.transport.abort()
+            return
+        self._open += 1
+        try:
+            await self._converse(reader, writer)
+        except (TimeoutError, OSError, h11.LocalProtocolError):
+            pass
+        finally:
+            self._open -= 1
+            writer.transport.abort() if writer.transport.is_closing() else writer.close()
+
+    async def _converse(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        conn = h11.Connection(h11.SERVER, max_incomplete_event_size=16 * 1024)
+        while True:
+            try:
+                request, body = await self._request(conn, reader)
+            except h11.RemoteProtocolError as problem:
+                await self._refuse(conn, writer, problem.error_status_hint or 400)
+                return
+            if request is None:
+                return
+            if body is None:
+                await self._refuse(conn, writer, 413)
+                return
+            reply = await self._handler(
+                request.method.decode("ascii"), request.target.decode("ascii", "replace"), body)
+            writer.write(self._encode(conn, reply))
+            await writer.drain()
+            if conn.our_state is not h11.DONE or conn.their_state is not h11.DONE:
+                return
+            conn.start_next_cycle()
+
+    async def _request(self, conn: h11.Connection, reader: asyncio.StreamReader
+                       ) -> tuple[h11.Request | None, bytes | None]:
+        """The next request; no request at the end of the connection, no body if too large."""
+        request: h11.Request | None = None
+        chunks: list[bytes] = []
+        size = 0
+        while True:
+            event = conn.next_event()
+            if event is h11.NEED_DATA:
+                data = await asyncio.wait_for(reader.read(READ_SIZE),
+                                              IDLE_S if request is None else BODY_S)
+                conn.receive_data(data)
+            elif isinstance(event, h11.Request):
+                request = event
+            elif isinstance(event, h11.Data):
+                size += len(event.data)
+                if size > MAX_BODY:
+                    return request, None
+                chunks.append(bytes(event.data))
+            elif isinstance(event, h11.EndOfMessage):
+                return request, b"".join(chunks)
+            else:
+                return None, b""
+
+    def _encode(self, conn: h11.Connection, reply: Reply, close: bool = False) -> bytes:
+        headers = [("Content-Type", reply.content_type), ("Content-Length", str(len(reply.body)))]
+        if reply.retry_after is not None:
+            headers.append(("Retry-After", str(max(1, round(reply.retry_after)))))
+        if close:
+            headers.append(("Connection", "close"))
+        parts = [conn.send(h11.Response(status_code=reply.status, headers=headers,
+                                        reason=REASONS.get(reply.status, b"")))]
+        if reply.body:
+            parts.append(conn.send(h11.Data(data=reply.body)))
+        parts.append(conn.send(h11.EndOfMessage()))
+        return b"".join(p for p in parts if p)
+
+    async def _refuse(self, conn: h11.Connection, writer: asyncio.StreamWriter,
+                      status: int) -> None:
+        if conn.our_state in (h11.IDLE, h11.SEND_RESPONSE):
+            writer.write(self._encode(conn, Reply(status), close=True))
+            with contextlib.suppress(OSError):
+                await writer.drain()
+        writer.close()
+
+
+class NotSent(Exception):
+    """The request surely did not leave."""
+
+
+class Unanswered(Exception):
+    """The request may have been carried out, or may yet be."""
+
+
+class _Link:
+    __slots__ = ("conn", "reader", "writer")
+
+    def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.reader = reader
+        self.writer = writer
+        self.conn = h11.Connection(h11.CLIENT)
+
+
+class Client:
+    """Requests to one address. A connection carries one request at a time and is kept."""
+
+    def __init__(self, host: str, port: int, limit: int = 4, connect_s: float = 1.0) -> None:
+        self.host = host
+        self.port = port
+        self._connect_s = connect_s
+        self._idle: deque[_Link] = deque()
+        self._slots = asyncio.Semaphore(limit)
+        self._host = f"{host}:{port}"
+
+    def close(self) -> None:
+        while self._idle:
+            self._idle.pop().writer.transport.abort()
+
+    async def request(self, method: str, target: str, body: bytes | None,
+                      timeout_s: float) -> tuple[int, bytes]:
+        async with self._slots:
+            link = await self._link()
+            try:
+                async with asyncio.timeout(timeout_s):
+                    status, answer, keep = await self._exchange(link, method, target, body)
+            except BaseException as problem:
+                link.writer.transport.abort()
+                self.close()  # what hung may be the path, not this one connection
+                if isinstance(problem, (OSError, TimeoutError, EOFError,
+                                        h11.RemoteProtocolError)):
+                    raise Unanswered(f"{self._host}: {problem!r}") from problem
+                raise
+            if keep:
+                link.conn.start_next_cycle()
+                self._idle.append(link)
+            else:
+                link.writer.close()
+            return status, answer
+
+    async def _link(self) -> _Link:
+        while self._idle:
+            link = self._idle.pop()
+            if not link.reader.at_eof() and not link.writer.is_closing():
+                return link
+            link.writer.transport.abort()
+        try:
+            async with asyncio.timeout(self._connect_s):
+                reader, writer = await asyncio.open_connection(self.host, self.port)
+        except (OSError, TimeoutError) as problem:
+            raise NotSent(f"{self._host}: {problem!r}") from problem
+        return _Link(reader, writer)
+
+    async def _exchange(self, link: _Link, method: str, target: str, body: bytes | None
+                        ) -> tuple[int, bytes, bool]:
+        headers = [("Host", self._host)]
+        if body is not None:
+            headers += [("Content-Type", CONTENT_TYPE), ("Content-Length", str(len(body)))]
+        conn = link.conn
+        parts = [conn.send(h11.Request(method=method, target=target, headers=headers))]
+        if body:
+            parts.append(conn.send(h11.Data(data=body)))
+        parts.append(conn.send(h11.EndOfMessage()))
+        link.writer.write(b"".join(p for p in parts if p))
+        status = 0
+        chunks: list[bytes] = []
+        while True:
+            event = conn.next_event()
+            if event is h11.NEED_DATA:
+                data = await link.reader.read(READ_SIZE)
+                conn.receive_data(data)
+            elif isinstance(event, h11.Response):
+                status = event.status_code
+            elif isinstance(event, h11.Data):
+                chunks.append(bytes(event.data))
+            elif isinstance(event, h11.EndOfMessage):
+                keep = conn.our_state is h11.DONE and conn.their_state is h11.DONE
+                return status, b"".join(chunks), keep
+            elif isinstance(event, h11.ConnectionClosed):
+                raise EOFError("connection closed")
--- /dev/null
+++ b/runcourse/wire/messages.py
@@ -0,0 +1,381 @@
+"""PROTOCOL's messages. The only place that knows its spellings.
+
+Incoming bodies are MessagePack, checked by msgspec; what leaves here speaks the field's
+terms. A message that does not fit its description raises `Malformed`.
+"""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Iterable, Sequence
+from typing import Annotated, Any, Literal, TypeVar
+
+import msgspec
+from msgspec import Meta, Struct
+
+from ..core.ids import Attempt, JobId, MachineId, Session, TaskId, Token, parse_task
+from ..core.jobs import MAX_TASKS, RANKS, UID, JobSpec
+from ..core.types import (
+    CloudMachine,
+    MachineType,
+    Order,
+    Report,
+    TaskReport,
+)
+
+MAX_BODY = 64 * 1024
+CONTENT_TYPE = "application/msgpack"
+
+
+class Malformed(Exception):
+    """A body that is not what the protocol says it is."""
+
+
+Text = Annotated[str, Meta(min_length=1, max_length=200)]
+Amount = Annotated[float, Meta(ge=0, le=1e9)]
+Natural = Annotated[int, Meta(ge=0)]
+
+_decoder = msgspec.msgpack.Decoder()
+_encoder = msgspec.msgpack.Encoder()
+T = TypeVar("T")
+
+
+def encode(body: Any) -> bytes:
+    return _encoder.encode(body)
+
+
+def decode_map(body: bytes) -> dict[str, Any]:
+    try:
+        value = _decoder.decode(body)
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as problem:
+        raise Malformed(f"not MessagePack: {problem}") from problem
+    if not isinstance(value, dict):
+        raise Malformed("not a map")
+    # Null equals omitted, so that no description has to name null for each field.
+    return {k: v for k, v in value.items() if v is not None and isinstance(k, str)}
+
+
+def _convert(value: Any, kind: type[T]) -> T:
+    try:
+        return msgspec.convert(value, kind)
+    except msgspec.ValidationError as problem:
+        raise Malformed(str(problem)) from problem
+
+
+def _finite(*amounts: float) -> None:
+    if not all(math.isfinite(a) for a in amounts):
+        raise Malformed("an amount is not finite")
+
+
+# --- users -------------------------------------------------------------------------------
+
+
+class _Submission(Struct, frozen=True):
+    uid: str
+    lane: Text
+    crew: Text
+    shape: Literal["batch", "service"]
+    rank: Literal["prod", "urgent", "normal", "idle"]
+    legs: Annotated[int, Meta(ge=1, le=MAX_TASKS)]
+    vcpus: Amount
+    gpus: Amount
+    ram_gb: Amount
+    kit: Text
+    pull_gb: Amount
+    together: bool
+    spread: bool
+    lendable: bool
+    guess_s: Amount
+    mark_every_s: Amount
+    mark_cost_s: Amount
+    hulls: tuple[Text, ...] | None = None
+    yard: Text | None = None
+    due_s: Amount | None = None
+
+
+def submission_uid(body: dict[str, Any]) -> JobId | None:
+    """The id of a submission that may be faulty otherwise."""
+    uid = body.get("uid")
+    return JobId(uid) if isinstance(uid, str) and UID.match(uid) else None
+
+
+def valid_uid(text: str) -> bool:
+    return UID.match(text) is not None
+
+
+def submission(body: dict[str, Any]) -> JobSpec:
+    s = _convert(body, _Submission)
+    if not UID.match(s.uid):
+        raise Malformed("uid is not a job id")
+    _finite(s.vcpus, s.gpus, s.ram_gb, s.pull_gb, s.guess_s, s.mark_every_s, s.mark_cost_s,
+            s.due_s or 0.0)
+    return JobSpec(
+        uid=s.uid,
+        lane=s.lane,
+        team=s.crew,
+        service=s.shape == "service",
+        rank=RANKS[s.rank],
+        tasks=s.legs,
+        cpus=s.vcpus,
+        gpus=s.gpus,
+        memory=s.ram_gb,
+        image=s.kit,
+        image_gb=s.pull_gb,
+        types=s.hulls,
+        zone=s.yard,
+        together=s.together,
+        spread=s.spread,
+        spot=s.lendable,
+        estimate_s=s.guess_s,
+        checkpoint_s=s.mark_every_s,
+        save_s=s.mark_cost_s,
+        deadline_s=s.due_s,
+    )
+
+
+def job_state(uid: str, stage: str, done: int | None = None,
+              running: int | None = None) -> dict[str, Any]:
+    state: dict[str, Any] = {"uid": uid, "stage": stage}
+    if done is not None:
+        state["done"] = done
+        state["running"] = running or 0
+    return state
+
+
+def job_body(spec: JobSpec) -> dict[str, Any]:
+    """A submission as a user sends it (the client commands and stand-ins use this)."""
+    ranks = {number: name for name, number in RANKS.items()}
+    return {
+        "uid": spec.uid, "lane": spec.lane, "crew": spec.team,
+        "shape": "service" if spec.service else "batch", "rank": ranks[spec.rank],
+        "legs": spec.tasks, "vcpus": spec.cpus, "gpus": spec.gpus, "ram_gb": spec.memory,
+        "kit": spec.image, "pull_gb": spec.image_gb,
+        "hulls": list(spec.types) if spec.types is not None else None, "yard": spec.zone,
+        "together": spec.together, "spread": spec.spread, "lendable": spec.spot,
+        "guess_s": spec.estimate_s, "mark_every_s": spec.checkpoint_s,
+        "mark_cost_s": spec.save_s, "due_s": spec.deadline_s,
+    }
+
+
+# --- workers -----------------------------------------------------------------------------
+
+_STAGES = {"fetching": "fetching", "running": "running", "flushing": "saving", "ended": "ended"}
+_CAUSES = {"done": "done", "halted": "stopped", "error": "error", "full": "full",
+           "in_use": "busy", "no_such": "unknown"}
+
+
+class _Leg(Struct, frozen=True):
+    leg: Text
+    attempt: Annotated[int, Meta(ge=0)] = msgspec.field(name="try")
+    stage: str = "running"
+    cause: str | None = None
+    stored: bool | None = None
+
+
+class _Beat(Struct, frozen=True):
+    host: Text
+    tenure: Natural
+    tick: Natural
+    baton: Natural = 0
+    addr: str = ""
+    hull: str = ""
+    yard: str = ""
+    lendable: bool = False
+    warning_s: float | None = None
+    legs: list[_Leg] | None = None
+
+
+def report(body: dict[str, Any]) -> Report:
+    b = _convert(body, _Beat)
+    tasks = []
+    for leg in b.legs or ():
+        try:
+            task = parse_task(leg.leg)
+        except ValueError as problem:
+            raise Malformed(str(problem)) from problem
+        tasks.append(TaskReport(
+            task=task,
+            attempt=Attempt(leg.attempt),
+            stage=_STAGES.get(leg.stage, "running"),
+            cause=_CAUSES.get(leg.cause or "", "error") if leg.stage == "ended" else "",
+            saved=bool(leg.stored),
+        ))
+    return Report(
+        machine=MachineId(b.host), addr=b.addr, type=b.hull, zone=b.yard, spot=b.lendable,
+        session=Session(b.tenure), seq=b.tick, token=Token(b.baton), notice_s=b.warning_s,
+        tasks=tuple(tasks),
+    )
+
+
+def _order(order: Order) -> dict[str, Any]:
+    body: dict[str, Any] = {"verb": {"start": "run", "stop": "kill", "forget": "clear"}[order.op],
+                            "leg": str(order.task), "try": order.attempt}
+    if order.op == "stop":
+        body["wind_down_s"] = order.grace_s
+    return body
+
+
+def report_answer(token: Token, orders: Sequence[Order]) -> dict[str, Any]:
+    return {"baton": token, "orders": [_order(o) for o in orders]}
+
+
+def redirect(member: str | None) -> dict[str, Any]:
+    return {"steward": member} if member else {}
+
+
+def commands(token: Token, session: Session, orders: Sequence[Order]) -> dict[str, Any]:
+    return {"baton": token, "tenure": session, "orders": [_order(o) for o in orders]}
+
+
+# --- cloud -------------------------------------------------------------------------------
+
+
+class _Hull(Struct, frozen=True):
+    label: Text
+    vcpus: Amount
+    ram_gb: Amount
+    gpus: Amount = 0.0
+    cache_gb: Amount = 0.0
+    pull_gb_per_s: Amount = 0.0
+    hourly: Amount = 0.0
+    market_price: Amount = 0.0
+    startup_s: Amount = 0.0
+    yards: tuple[str, ...] = ()
+
+
+class _Catalog(Struct, frozen=True):
+    hulls: list[_Hull]
+
+
+class _CloudHost(Struct, frozen=True):
+    uid: Text
+    hull: Text
+    yard: Text
+    addr: str = ""
+    lendable: bool = False
+    stage: str = "running"
+    age_s: float = 0.0
+
+
+class _CloudList(Struct, frozen=True):
+    hosts: list[_CloudHost]
+    has_next: bool = False
+
+
+class _Hired(Struct, frozen=True):
+    hosts: list[Text]
+
+
+def catalog(body: dict[str, Any]) -> tuple[MachineType, ...]:
+    types = _convert(body, _Catalog).hulls
+    return tuple(
+        MachineType(name=h.label, cpus=h.vcpus, memory=h.ram_gb, gpus=h.gpus,
+                    cache_gb=h.cache_gb, fetch_gb_per_s=h.pull_gb_per_s, price=h.hourly,
+                    spot_price=h.market_price, boot_s=h.startup_s, zones=h.yards)
+        for h in types
+    )
+
+
+def cloud_list(body: dict[str, Any]) -> tuple[tuple[CloudMachine, ...], bool]:
+    page = _convert(body, _CloudList)
+    return tuple(
+        CloudMachine(id=MachineId(h.uid), addr=h.addr, type=h.hull, zone=h.yard,
+                     spot=h.lendable, stage=h.stage, age_s=h.age_s)
+        for h in page.hosts
+    ), page.has_next
+
+
+def list_path(since: str | None, most: int) -> str:
+    return f"/machines?most={most}" + (f"&since={since}" if since else "")
+
+
+def hire(name: str, type_: str, zone: str, spot: bool, number: int) -> dict[str, Any]:
+    return {"hire": name, "hull": type_, "yard": zone, "lendable": spot, "number": number}
+
+
+def hired(body: dict[str, Any]) -> tuple[MachineId, ...]:
+    return tuple(MachineId(h) for h in _convert(body, _Hired).hosts)
+
+
+def release(machines: Iterable[MachineId]) -> dict[str, Any]:
+    return {"hosts": list(machines)}
+
+
+# --- state service -----------------------------------------------------------------------
+
+
+class Pair(Struct, frozen=True):
+    key: str
+    value: Any
+    stamp: Natural
+
+
+class Page(Struct, frozen=True):
+    pairs: list[Pair]
+    epoch: Natural
+    has_next: bool = False
+
+
+class _Event(Struct, frozen=True):
+    stamp: Natural
+    write: str | None = None
+    drop: str | None = None
+    value: Any = None
+
+
+class _Events(Struct, frozen=True):
+    epoch: Natural
+    events: list[_Event]
+
+
+class _Epoch(Struct, frozen=True):
+    epoch: Natural
+    failed: list[str] | None = None
+
+
+class _Grant(Struct, frozen=True):
+    grant: Natural
+
+
+Change = tuple[str, Any, int]  # key, value or None for a dropped key, stamp
+
+
+def page(body: dict[str, Any]) -> Page:
+    return _convert(body, Page)
+
+
+def events(body: dict[str, Any]) -> tuple[list[Change], int]:
+    e = _convert(body, _Events)
+    changes: list[Change] = []
+    for event in e.events:
+        if event.write is not None:
+            changes.append((event.write, event.value, event.stamp))
+        elif event.drop is not None:
+            changes.append((event.drop, None, event.stamp))
+    return changes, e.epoch
+
+
+def committed(body: dict[str, Any]) -> int:
+    return _convert(body, _Epoch).epoch
+
+
+def granted(body: dict[str, Any]) -> int:
+    return _convert(body, _Grant).grant
+
+
+def transaction(when: Iterable[tuple[str, int]],
+                then: Iterable[tuple[str, Any, int | None]]) -> dict[str, Any]:
+    """`then`: (key, value, grant); a value of None drops the key."""
+    ops: list[dict[str, Any]] = []
+    for key, value, grant in then:
+        if value is None:
+            ops.append({"drop": key})
+        elif grant is None:
+            ops.append({"write": key, "value": value})
+        else:
+            ops.append({"write": key, "value": value, "grant": grant})
+    return {"when": [{"key": k, "stamp": s} for k, s in when], "then": ops}
+
+
+def task_text(task: TaskId) -> str:
+    return str(task)
