--- a/runcourse/core/jobs.py
+++ b/runcourse/core/jobs.py
@@ -24,6 +24,7 @@
     lane: str
     team: str
     service: bool
+    gang: bool = False
     rank: int
     tasks: int
     cpus: float
--- a/runcourse/core/machines.py
+++ b/runcourse/core/machines.py
@@ -230,9 +230,9 @@
 
     # --- placements ----------------------------------------------------------------------
 
-    def place(self, job: Job, index: int, machine: Machine) -> Placement:
+    def place(self, job: Job, index: int, machine: Machine, attempt: Attempt) -> Placement:
         task = TaskId(job.uid, index)
-        placement = Placement(task, machine.share.next_attempt(), machine, job, self.cx.now)
+        placement = Placement(task, attempt, machine, job, self.cx.now)
         self._insert(placement)
         self._dirty[machine.id] = None
         return placement
@@ -293,6 +293,7 @@
         # What a session says that surely ended is of no use, however late it arrives.
         if report.session <= machine.expired_session:
             return False
+        usable = self.usable(machine)
         if report.session > machine.session:
             if machine.session:
                 for placement in list(machine.placements.values()):
@@ -327,6 +328,9 @@
         if not machine.settled and report.token >= machine.base_token:
             machine.settled = True
             self.watcher.changed()
+        if not usable and self.usable(machine):
+            # A machine that came up or back is new room, though nothing on it changed.
+            self.watcher.changed()
         return True
 
     def _listed(self, machine: Machine, entry: TaskReport) -> None:
--- a/runcourse/core/quota.py
+++ b/runcourse/core/quota.py
@@ -49,7 +49,7 @@
         limits = self.teams.get(Team(job.spec.team))
         if limits is None:
             return f"unknown team {job.spec.team}"
-        tasks = job.spec.tasks if job.spec.service else 1
+        tasks = job.spec.tasks if job.spec.service or job.spec.gang else 1
         if (job.spec.cpus * tasks > limits.cpus_max + SLACK
                 or job.spec.gpus * tasks > limits.gpus_max + SLACK):
             return f"more than the limit of team {job.spec.team}"
--- a/runcourse/core/scheduler.py
+++ b/runcourse/core/scheduler.py
@@ -9,11 +9,12 @@
 from .ids import LONG_AGO, Instant, JobId, MachineId, ShareNo, Stamp, TaskId, Team
 from .jobs import PAGE_BITS, Job, Jobs, job_value
 from .machines import Fleet, Machine, Placement
-from .placement import NOTHING, Size, progress
+from .placement import NOTHING, Size, fits_times, progress
 from .quota import Quota
 from .shares import Holding, Shares
 from .store import DONE, JOB, Store
 
+RETRY_S = 0.25  # between turns while tasks wait for room
 FLUSH_GAP_S = 0.3  # between two stored changes of one job that do not complete it
 
 
@@ -130,6 +131,10 @@
         if (not work.finished >> index & 1 and not work.job.is_done(index)
                 and placement.task not in self.fleet.where and index not in work.pending):
             work.pending.append(index)
+            if work.job.spec.gang:
+                # The mates can't go on without it: all start anew together.
+                for mate in self.fleet.of_job(work.job.uid):
+                    self.fleet.stop(mate, self._grace(mate))
 
     def _failed(self, work: Work, machine: Machine) -> None:
         """A machine on which tasks of several jobs fail is set aside; a job that fails on
@@ -198,7 +203,9 @@
 
     def turn(self) -> None:
         now = self.cx.now
-        if not self._dirty or now < self._next_turn:
+        # Room may open by time alone, as pauses and backoffs end.
+        due = self._dirty or (any(self.unmet.values()) and now >= self._next_turn + RETRY_S)
+        if not due or now < self._next_turn:
             return
         self._dirty = False
         self._next_turn = Instant(now + 0.02)
@@ -295,6 +302,15 @@
             if m.id not in claimed and self._permits(job, m) and size.fits(m.room)
         ]
         work.waits = ""
+        attempt = machines[0].share.next_attempt() if machines else None
+        if job.spec.gang:
+            # Mates know each other by their common attempt, so a gang starts as a whole.
+            if any(work.zones.values()):
+                work.waits = "mates of an earlier attempt are still there"
+                return 0
+            if not self._gang_fits(work, scored, extra):
+                work.waits = "no room for the whole gang"
+                return len(work.pending)
         while work.pending:
             if not self.quota.allows(job, extra):
                 work.waits = "team limit"
@@ -309,7 +325,10 @@
             if best is None:
                 break
             machine: Machine = best[1]
-            self.fleet.place(job, task.number, machine)
+            if not job.spec.gang:
+                attempt = machine.share.next_attempt()
+            assert attempt is not None
+            self.fleet.place(job, task.number, machine, attempt)
             if size.fits(machine.room):
                 best[0] = self._score(job, machine)
             else:
@@ -320,6 +339,28 @@
             self._make_room(work, machines, claimed, missing)
         return missing
 
+    def _gang_fits(self, work: Work, scored: list[list[Any]], extra: Size) -> bool:
+        """A gang starts only when all of its tasks that wait fit at once."""
+        job = work.job
+        n = len(work.pending)
+        size = Size(job.size.cpus * (n - 1), job.size.memory * (n - 1), job.size.gpus * (n - 1))
+        if not self.quota.allows(job, extra.plus(size)):
+            return False
+        zones: dict[str, int] = {}
+        for _, machine in scored:
+            zone = machine.record.zone
+            if self._zone_open(work, zone):
+                zones[zone] = zones.get(zone, 0) + fits_times(job.size, machine.room)
+        if job.spec.spread:
+            most = (job.spec.tasks + 1) // 2
+            zones = {z: min(k, most - work.zones.get(z, 0)) for z, k in zones.items()}
+        if not job.spec.together:
+            return sum(zones.values()) >= n
+        # All in one zone: only machines of a zone that has room for all of them count.
+        fitting = {z for z, k in zones.items() if k >= n}
+        scored[:] = [entry for entry in scored if entry[1].record.zone in fitting]
+        return bool(fitting)
+
     def _make_room(self, work: Work, machines: list[Machine], claimed: set[MachineId],
                    missing: int) -> None:
         """Stop lesser work where the waiting task then fits; least work lost first."""
--- a/runcourse/daemon.py
+++ b/runcourse/daemon.py
@@ -45,6 +45,7 @@
         self._server = Server(self._serve, limit)
         self._requests = 0
         self._answers: dict[int, asyncio.Future[Any]] = {}
+        self._malformed: dict[str, int] = {}
         self._tasks: set[asyncio.Task[None]] = set()
 
     async def run(self) -> None:
@@ -160,6 +161,9 @@
                         else Reply(405))
             return Reply(404, wire.encode({"error": "no such path"}))
         except wire.Malformed as problem:
+            self._malformed[path] = self._malformed.get(path, 0) + 1
+            if self._malformed[path] == 1:
+                log.info("malformed request to %s: %s", path, problem)
             return Reply(400, wire.encode({"error": str(problem)}))
 
     async def _submit(self, body: bytes) -> Reply:
@@ -182,6 +186,7 @@
     async def _beat(self, body: bytes) -> Reply:
         report = wire.report(wire.decode_map(body))
         answer: t.AnswerBeat | None = await self._ask(t.Beat(0, report), BEAT_S)
+        log.debug("%s -> %s", report, answer)
         if answer is None or answer.status == 503:
             return Reply(503, wire.encode({}))
         if answer.status == 421:
--- a/runcourse/wire/messages.py
+++ b/runcourse/wire/messages.py
@@ -74,7 +74,7 @@
     uid: str
     lane: Text
     crew: Text
-    shape: Literal["batch", "service"]
+    shape: Literal["batch", "service", "ensemble"]
     rank: Literal["prod", "urgent", "normal", "idle"]
     legs: Annotated[int, Meta(ge=1, le=MAX_TASKS)]
     vcpus: Amount
@@ -114,6 +114,7 @@
         lane=s.lane,
         team=s.crew,
         service=s.shape == "service",
+        gang=s.shape == "ensemble",
         rank=RANKS[s.rank],
         tasks=s.legs,
         cpus=s.vcpus,
@@ -147,7 +148,8 @@
     ranks = {number: name for name, number in RANKS.items()}
     return {
         "uid": spec.uid, "lane": spec.lane, "crew": spec.team,
-        "shape": "service" if spec.service else "batch", "rank": ranks[spec.rank],
+        "shape": "service" if spec.service else "ensemble" if spec.gang else "batch",
+        "rank": ranks[spec.rank],
         "legs": spec.tasks, "vcpus": spec.cpus, "gpus": spec.gpus, "ram_gb": spec.memory,
         "kit": spec.image, "pull_gb": spec.image_gb,
         "hulls": list(spec.types) if spec.types is not None else None, "yard": spec.zone,
@@ -159,9 +161,13 @@
 
 # --- workers -----------------------------------------------------------------------------
 
-_STAGES = {"fetching": "fetching", "running": "running", "flushing": "saving", "ended": "ended"}
+# "ensemble", "waiting", "mates_gone" and "incomplete" stand in the deployments' lists of names,
+# though not on PROTOCOL's page: see docs/questions.md.
+_STAGES = {"fetching": "fetching", "waiting": "fetching", "running": "running",
+           "flushing": "saving", "ended": "ended"}
 _CAUSES = {"done": "done", "halted": "stopped", "error": "error", "full": "full",
-           "in_use": "busy", "no_such": "unknown"}
+           "in_use": "busy", "no_such": "unknown", "mates_gone": "mates",
+           "incomplete": "mates"}
 
 
 class _Leg(Struct, frozen=True):
