--- a/runcourse/core/rental.py
+++ b/runcourse/core/rental.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+from collections import deque
 from collections.abc import Callable
 from typing import Any
 
@@ -28,6 +29,8 @@
 
 LOAD_EVERY_S = 0.5
 PLAN_EVERY_S = 0.5
+PEAK_WINDOW_S = 40.0
+LONG_PEAK_WINDOW_S = 300.0  # where no aim speaks of cost
 CATALOG_EVERY_S = 30.0
 MAX_HIRE = 50
 MAX_RELEASE = 100
@@ -90,6 +93,8 @@
         self._refused: dict[tuple[str, str, bool], tuple[float, Instant]] = {}
         self._pending_hires: dict[str, tuple[Rent, ShareNo]] = {}
         self._led_since: Instant | None = None
+        self._peaks: deque[tuple[Instant, float]] = deque()
+        self._busy_at = cx.now
 
     # --- leadership ----------------------------------------------------------------------
 
@@ -140,6 +145,8 @@
             return
         if self._led_since is None:
             self._led_since = now
+            self._busy_at = now
+            self._peaks.clear()
             self._first_listed.clear()
             self._recorded_at.clear()
             self.cx.log("info", "leading")
@@ -492,19 +499,28 @@
 
     def _keep_spare(self, booting: dict[ShareNo, list[Record]],
                     idle: dict[ShareNo, list[tuple[float, MachineId, Record]]]) -> None:
-        """Return what stays empty; without a cost aim, keep what is there."""
-        if not self.thrifty and self.cx.operators.idle_return is None:
-            return
-        total_idle = sum(len(v) for v in idle.values())
-        keep = 1 if self.cx.operators.headroom > 0 else 0
+        """Return what stays empty, beyond what was in use at once lately and a spare part."""
+        now = self.cx.now
+        demand = sum(self._wanted(s) - 1.0 for s in self.shares.all() if s in self.loads)
+        self._peaks.append((now, demand))
+        window = PEAK_WINDOW_S if self.thrifty else LONG_PEAK_WINDOW_S
+        while self._peaks and self._peaks[0][0] < now - window:
+            self._peaks.popleft()
+        if demand > 0:
+            self._busy_at = now
+        keep = max(d for _, d in self._peaks) * (1.0 if self.thrifty else 1.5)
+        if now - self._busy_at > PEAK_WINDOW_S:
+            keep = 0.0  # nothing at all is asked for
+        capacity = sum(self._cpus_of(s) for s in self.shares.all())
         for share in self.shares.all():
             for seconds, id, record in sorted(idle[share], reverse=True):
                 type_ = self.fleet.types[record.type]
                 limit = self.cx.operators.idle_return
                 if limit is None:
-                    limit = max(60.0 - type_.boot_s, type_.boot_s)
-                if seconds > limit and total_idle > keep:
-                    total_idle -= 1
+                    # A machine costs its boot again, and a minute at the least.
+                    limit = min(max(60.0 - type_.boot_s, 0.5 * type_.boot_s), 45.0)
+                if seconds > limit and capacity - type_.cpus >= keep * self.cx.operators.headroom:
+                    capacity -= type_.cpus
                     self._ask_owner(share, {"t": "retire", "machine": id})
 
     # --- what the leader asks of owners --------------------------------------------------
--- /dev/null
+++ b/tests/test_core.py
@@ -0,0 +1,225 @@
+"""The core through whole stories: scripted peers, a fake clock, no sockets."""
+
+from typing import Any
+
+import pytest
+from world import LEASE_S, World, spec
+
+
+def started() -> World:
+    world = World()
+    world.run(4.0)
+    return world
+
+
+def test_an_array_is_run_once_and_stays_done() -> None:
+    world = started()
+    assert world.submit(spec("j-000001", tasks=3)) == 201
+    assert world.submit(spec("j-000001", tasks=3), "n1") == 200
+    world.until(lambda: world.poll("j-000001", "n2") == "done", 20)
+    world.run(10)
+    assert {m: world.poll("j-000001", m) for m in ("n0", "n1", "n2")} == dict.fromkeys(
+        ("n0", "n1", "n2"), "done")
+    assert len(world.starts) == 3
+    assert not world.broken
+
+
+def test_a_cancelled_service_is_gone_and_stays_cancelled() -> None:
+    world = started()
+    world.submit(spec("j-000002", service=True))
+    world.until(lambda: len(world.on_machines()) == 2, 10)
+    assert world.withdraw("j-000002", "n1") == "cancelled"
+    world.until(lambda: not world.on_machines(), 3)
+    assert world.poll("j-000002", "n2") == "cancelled"
+    assert world.submit(spec("j-000002", service=True), "n2") == 200
+    world.run(5)
+    assert not world.on_machines() and not world.broken
+
+
+def test_unknown_jobs_are_told_so() -> None:
+    world = started()
+    assert world.poll("j-999999") == "unknown"
+    assert world.poll("not-an-id") == "unknown"
+    assert world.withdraw("j-999999") == "?"
+
+
+def test_a_team_keeps_to_its_limit() -> None:
+    world = World(machines=6, cpus_max=6.0)
+    world.run(4.0)
+    world.submit(spec("j-000003", tasks=8))
+    world.until(lambda: world.poll("j-000003") == "done", 60)
+    assert not world.broken
+
+
+def test_a_service_that_lost_its_machine_runs_elsewhere() -> None:
+    world = started()
+    world.submit(spec("j-000004", service=True, tasks=1))
+    world.until(lambda: len(world.on_machines()) == 1, 10)
+    _, worker = world.on_machines()[0]
+    worker.alive = False
+    world.until(lambda: len(world.on_machines()) == 1, LEASE_S + 5)
+    assert not world.broken
+
+
+@pytest.mark.parametrize("dead", [("n0",), ("n1", "n2"), ("n0", "n1", "n2")])
+def test_nodes_crash_and_return(dead: tuple[str, ...]) -> None:
+    world = started()
+    for n in range(4):
+        world.submit(spec(f"j-00001{n}", service=True, tasks=1, team=f"team-{n}"))
+    world.until(lambda: len(world.on_machines()) == 4, 15)
+    for member in dead:
+        world.crash(member)
+    world.run(1.0)
+    for member in dead:
+        world.start(member)
+    world.run(15.0)
+    assert len(world.on_machines()) == 4
+    assert len(world.starts) == 4, "nothing was lost, so nothing may have started again"
+    assert not world.broken
+
+
+def test_a_dead_nodes_share_is_taken_over() -> None:
+    world = started()
+    for n in range(4):
+        world.submit(spec(f"j-00002{n}", service=True, tasks=1, team=f"team-{n}"), "n1")
+    world.until(lambda: len(world.on_machines()) == 4, 15)
+    world.crash("n0")
+    world.run(12.0)
+    node = world.nodes["n1"]
+    assert node is not None
+    owners = {node.shares.living_owner(s) for s in node.shares.all()}
+    assert owners == {"n1", "n2"}
+    assert len(world.on_machines()) == 4 and not world.broken
+
+
+def test_two_silent_nodes_block_a_takeover() -> None:
+    """A lone node can't know whether the two others vouch for each other."""
+    world = started()
+    world.crash("n0")
+    world.crash("n1")
+    world.run(20.0)
+    node = world.nodes["n2"]
+    assert node is not None and len(node.shares.mine) == 1
+
+
+def test_running_tasks_survive_a_long_outage_of_the_state_service() -> None:
+    world = started()
+    for n in range(4):
+        world.submit(spec(f"j-00003{n}", service=True, tasks=1, team=f"team-{n}"))
+    world.until(lambda: len(world.on_machines()) == 4, 15)
+    world.state.outage(True)
+    world.run(3 * LEASE_S)
+    assert len(world.on_machines()) == 4 and len(world.starts) == 4
+    assert world.submit(spec("j-000039")) == 503
+    world.state.outage(False)
+    world.run(3.0)
+    assert world.submit(spec("j-000039")) == 201
+    assert not world.broken
+
+
+def test_a_node_refused_alone_stops_and_is_replaced() -> None:
+    world = started()
+    for n in range(4):
+        world.submit(spec(f"j-00004{n}", service=True, tasks=1, team=f"team-{n}"))
+    world.until(lambda: len(world.on_machines()) == 4, 15)
+    world.state.refusing.add("n0")
+    world.run(10.0)
+    node = world.nodes["n0"]
+    assert node is not None and not node.authority.entitled()
+    other = world.nodes["n1"]
+    assert other is not None and all(other.shares.living_owner(s) for s in other.shares.all())
+    world.state.refusing.clear()
+    world.run(15.0)
+    assert len(world.on_machines()) == 4 and not world.broken
+
+
+def test_an_order_of_unknown_fate_does_not_start_a_task_twice() -> None:
+    """A start held back on its way must find its token too low once the task is elsewhere."""
+    world = started()
+    world.hold = True
+    for worker in world.workers.values():
+        for member in ("n0", "n1", "n2"):
+            world.cut.add(frozenset((worker.id, member)))
+    world.submit(spec("j-000050", service=True, tasks=1))
+    world.run(2.5)
+    world.cut.clear()
+    world.until(lambda: len(world.on_machines()) == 1, 20)
+    world.withdraw("j-000050")
+    world.until(lambda: not world.on_machines(), 5)
+    world.run(3.0)
+    world.deliver_held()
+    world.run(1.0)
+    assert not world.on_machines() and not world.broken
+
+
+def test_a_hung_machine_that_resumes_within_its_lease_keeps_its_task() -> None:
+    world = started()
+    world.submit(spec("j-000060", service=True, tasks=1))
+    world.until(lambda: len(world.on_machines()) == 1, 10)
+    _, worker = world.on_machines()[0]
+    worker.hung = True
+    world.run(1.5)
+    worker.hung = False
+    world.deliver_held()
+    world.run(5.0)
+    assert len(world.starts) == 1 and not world.broken
+
+
+def test_a_machine_that_fails_every_task_harms_few() -> None:
+    world = World(machines=4)
+    world.run(4.0)
+    sick = next(iter(world.workers.values()))
+    sick.sick = True
+    for n in range(4):
+        world.submit(spec(f"j-00007{n}", tasks=3, team=f"team-{n}"))
+    world.until(lambda: all(world.poll(f"j-00007{n}") == "done" for n in range(4)), 60)
+    assert sum(1 for _, _, id in world.starts if id == sick.id) <= 8
+    assert not world.broken
+
+
+def test_a_gang_starts_as_a_whole_with_one_attempt() -> None:
+    world = started()
+    world.submit(spec("j-000080", tasks=3, gang=True, estimate_s=3.0))
+    world.until(lambda: len(world.on_machines()) == 3, 10)
+    attempts = {attempt for w in world.workers.values() for _, attempt in w.tasks}
+    assert len(attempts) == 1
+    world.until(lambda: world.poll("j-000080") == "done", 20)
+
+
+def test_higher_rank_stops_lower_and_never_its_equal() -> None:
+    world = World(machines=3, cpus_max=100.0)
+    world.run(4.0)
+    world.submit(spec("j-000090", tasks=6, estimate_s=60.0, rank=1))
+    world.run(10.0)
+    world.submit(spec("j-000091", tasks=1, estimate_s=60.0, rank=1))
+    world.run(5.0)
+    before = {task for task, _ in world.on_machines()}
+    assert not any(task.job == "j-000091" for task in before)
+    world.submit(spec("j-000092", tasks=1, service=True, rank=0))
+    world.until(lambda: any(task.job == "j-000092" for task, _ in world.on_machines()), 10)
+    assert not world.broken
+
+
+def test_cancellation_while_the_owner_is_gone_is_refused_at_once() -> None:
+    world = started()
+    world.submit(spec("j-000100", service=True, tasks=1))
+    world.run(3)
+    node = world.nodes["n1"]
+    assert node is not None
+    share = node.shares.of_team("team-0")  # type: ignore[arg-type]
+    owner = node.shares.living_owner(share)
+    asker = next(m for m in ("n0", "n1", "n2") if m != owner)
+    world.crash(str(owner))
+    world.until(lambda: _no_owner(world, asker, share), 10)
+    at = world.now
+    assert world.withdraw("j-000100", asker) == "?"
+    assert world.now - at < 1.0
+    world.run(8.0)
+    assert world.withdraw("j-000100", asker) == "cancelled"
+    world.run(5.0)
+    assert not world.on_machines() and not world.broken
+
+
+def _no_owner(world: World, asker: str, share: Any) -> bool:
+    node = world.nodes[asker]
+    return node is not None and node.shares.living_owner(share) is None
--- /dev/null
+++ b/tests/test_property.py
@@ -0,0 +1,105 @@
+"""Random interleavings of failures: the rules hold, and nothing accepted is lost."""
+
+from hypothesis import HealthCheck, given, settings
+from hypothesis import strategies as st
+from world import MEMBERS, World, spec
+
+ACTIONS = ("submit", "service", "spread", "cancel", "crash", "crash_all", "blink", "outage",
+           "refuse", "cut_worker", "hold_worker", "cut_node", "cut_peers", "hang", "die", "lossy",
+           "held", "poll")
+
+
+def act(world: World, action: str, pick: int, number: int) -> None:
+    member = MEMBERS[pick % 3]
+    workers = list(world.workers.values())
+    worker = workers[pick % len(workers)] if workers else None
+    uid = f"j-{number:06d}"
+    team = f"team-{pick % 4}"
+
+    def heal(*pairs: frozenset[str]) -> None:
+        world.after(2.0 + pick % 9, lambda: world.cut.difference_update(pairs))
+
+    if action == "submit":
+        world.submit(spec(uid, tasks=1 + pick % 4, team=team, spot=pick % 2 == 0), member)
+    elif action == "service":
+        world.submit(spec(uid, tasks=1 + pick % 2, team=team, service=True, rank=0), member)
+    elif action == "spread":
+        world.submit(spec(uid, tasks=2, team=team, service=True, spread=True, rank=0), member)
+    elif action == "cancel" and world.told:
+        world.withdraw(sorted(world.told)[pick % len(world.told)], member)
+    elif action == "poll" and world.told:
+        world.poll(sorted(world.told)[pick % len(world.told)], member)
+    elif action in ("crash", "blink"):
+        if world.nodes[member] is not None:
+            world.crash(member)
+            pause = 0.1 if action == "blink" else 1.0 + pick % 6
+            world.after(pause, lambda: world.start(member))
+    elif action == "crash_all":
+        for m in MEMBERS:
+            if world.nodes[m] is not None:
+                world.crash(m)
+                world.after(1.0, lambda m=m: world.start(m))  # type: ignore[misc]
+    elif action == "outage" and not world.state.down:
+        world.state.outage(True)
+        world.after(1.0 + pick % 10, lambda: world.state.outage(False))
+    elif action == "refuse":
+        world.state.refusing.add(member)
+        world.after(1.0 + pick % 9, lambda: world.state.refusing.discard(member))
+    elif action in ("cut_worker", "hold_worker") and worker is not None:
+        world.hold = world.hold or action == "hold_worker"
+        pairs = [frozenset((worker.id, m)) for m in MEMBERS]
+        world.cut.update(pairs)
+        heal(*pairs)
+    elif action == "cut_node":
+        pairs = [frozenset((member, w.id)) for w in workers]
+        pairs += [frozenset((member, m)) for m in MEMBERS if m != member]
+        if pick % 2:
+            pairs.append(frozenset((member, "state")))
+        world.cut.update(pairs)
+        heal(*pairs)
+    elif action == "cut_peers":
+        pairs = [frozenset((member, MEMBERS[(pick + 1) % 3]))]
+        world.cut.update(pairs)
+        heal(*pairs)
+    elif action == "hang" and worker is not None:
+        worker.hung = True
+        world.after(1.0 + pick % 8, lambda: setattr(worker, "hung", False))
+    elif action == "die" and worker is not None:
+        worker.alive = False
+    elif action == "lossy":
+        world.lose = 0.3
+        world.after(3.0, lambda: setattr(world, "lose", 0.0))
+    elif action == "held":
+        world.deliver_held()
+
+
+steps = st.lists(
+    st.tuples(st.sampled_from(ACTIONS), st.integers(0, 40), st.floats(0.05, 4.0)),
+    min_size=6, max_size=22)
+
+
+@settings(max_examples=60, deadline=None, derandomize=True, database=None,
+          suppress_health_check=list(HealthCheck))
+@given(steps, st.integers(0, 1000))
+def test_rules_hold_whatever_fails(script: list[tuple[str, int, float]], seed: int) -> None:
+    world = World(seed=seed, machines=5, cpus_max=8.0)
+    world.run(2.0)
+    for number, (action, pick, pause) in enumerate(script):
+        act(world, action, pick, number)
+        world.run(pause)
+        assert not world.broken
+    world.run(12.0)
+    world.cut.clear()
+    world.lose = 0.0
+    world.deliver_held()
+    world.run(30.0)
+    world.deliver_held()
+    world.run(5.0)
+    assert not world.broken
+    for uid, told in list(world.told.items()):
+        stage = world.poll(uid, "n1")
+        assert stage != "?"
+        if not world.specs[uid].service and told not in ("cancelled", "unknown"):
+            world.until(lambda uid=uid: world.poll(uid) in ("done", "cancelled"),  # type: ignore[misc]
+                        90)
+    assert not world.broken
--- /dev/null
+++ b/tests/world.py
@@ -0,0 +1,519 @@
+"""A small world for the core: a fake clock, a scripted state service, cloud and workers.
+
+Everything random comes from one seeded generator, so a run repeats. The workers and the
+state service follow PROTOCOL; the world notes every broken rule in `broken`.
+"""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+import random
+from collections.abc import Callable
+from typing import Any
+
+from runcourse.config import (
+    CloudSettings,
+    Deployment,
+    Operators,
+    Peer,
+    Platform,
+    Services,
+    StateSettings,
+    TeamSettings,
+    WorkerSettings,
+)
+from runcourse.core import types as t
+from runcourse.core.ids import Instant
+from runcourse.core.jobs import JobSpec
+from runcourse.core.node import Node
+
+LEASE_S = 6.0
+REPORT_S = 1.0
+CANCEL_S = 20.0
+TYPE = t.MachineType("m4", 4.0, 16.0, 0.0, 40.0, 1.0, 1.0, 0.3, 2.0, ("a", "b", "c"))
+MEMBERS = ("n0", "n1", "n2")
+ZONES = ("a", "b", "c")
+
+
+def platform(member: str, cpus_max: float = 16.0, members: tuple[str, ...] = MEMBERS,
+             objectives: tuple[Any, ...] = ()) -> Platform:
+    return Platform(
+        member=member, area="a", api_addr="127.0.0.1:1", internal_addr="127.0.0.1:2",
+        services=Services("127.0.0.1:3", "127.0.0.1:4"),
+        peers=tuple(Peer(m, "a", "127.0.0.1:5") for m in members if m != member),
+        settings=Deployment(
+            nodes=len(members), zones=ZONES, objectives=objectives,
+            teams=tuple(TeamSettings(f"team-{i}", 4.0, cpus_max) for i in range(4)),
+            workers=WorkerSettings(REPORT_S, LEASE_S, CANCEL_S),
+            state=StateSettings(rps=400.0, write_rps=200.0), cloud=CloudSettings(10.0, 2.0)))
+
+
+def spec(uid: str, tasks: int = 2, **changes: Any) -> JobSpec:
+    values: dict[str, Any] = {
+        "uid": uid, "lane": "x", "team": "team-0", "service": False, "rank": 1, "tasks": tasks,
+        "cpus": 2.0, "gpus": 0.0, "memory": 4.0, "image": "img", "image_gb": 0.2,
+        "estimate_s": 2.0}
+    values.update(changes)
+    return JobSpec(**values)
+
+
+class State:
+    """The state service: versions, leases, conditions, and a record of changes."""
+
+    def __init__(self, world: World) -> None:
+        self.world = world
+        self.data: dict[str, tuple[Any, int, int | None]] = {}
+        self.epoch = 0
+        self.log: list[tuple[str, Any, int]] = []
+        self.leases: dict[int, tuple[float, float]] = {}
+        self.down = False
+        self.refusing: set[str] = set()
+        self._grants = itertools.count(1)
+
+    def outage(self, on: bool) -> None:
+        self.down = on
+        if not on:  # every lease has its full time again
+            self.leases = {g: (self.world.now + ttl, ttl) for g, (_, ttl) in self.leases.items()}
+
+    def expire(self) -> None:
+        if self.down:
+            return
+        for grant in [g for g, (end, _) in self.leases.items() if self.world.now >= end]:
+            del self.leases[grant]
+            gone = [k for k, (_, _, g) in self.data.items() if g == grant]
+            if gone:
+                self.epoch += 1
+                for key in gone:
+                    del self.data[key]
+                    self.log.append((key, None, self.epoch))
+
+    def serve(self, member: str, effect: Any) -> tuple[int, Any]:
+        self.expire()
+        if self.down or member in self.refusing:
+            return 503, None
+        match effect:
+            case t.ReadAll():
+                return 200, ([(k, v, s) for k, (v, s, _) in sorted(self.data.items())], self.epoch)
+            case t.Follow():
+                return 200, ([c for c in self.log if c[2] > effect.since], self.epoch)
+            case t.Grant():
+                grant = next(self._grants)
+                self.leases[grant] = (self.world.now + effect.ttl_ms / 1000, effect.ttl_ms / 1000)
+                return 200, grant
+            case t.Extend():
+                if effect.grant not in self.leases:
+                    return 404, None
+                ttl = self.leases[effect.grant][1]
+                self.leases[effect.grant] = (self.world.now + ttl, ttl)
+                return 200, None
+            case t.Commit():
+                return self._commit(effect)
+        raise TypeError(effect)
+
+    def _commit(self, effect: t.Commit) -> tuple[int, Any]:
+        if any(self.data.get(k, (None, 0, None))[1] != s for k, s in effect.when):
+            return 409, None
+        if any(g is not None and g not in self.leases for _, _, g in effect.then):
+            return 400, None
+        self.epoch += 1
+        for key, value, grant in effect.then:
+            if value is None:
+                self.data.pop(key, None)
+            else:
+                self.data[key] = (value, self.epoch, grant)
+            self.log.append((key, value, self.epoch))
+        return 200, self.epoch
+
+
+class Worker:
+    """One machine's worker: sessions, tokens, leases, and tasks that run for a while."""
+
+    def __init__(self, world: World, id: str, zone: str, spot: bool) -> None:
+        self.world = world
+        self.id = id
+        self.zone = zone
+        self.spot = spot
+        self.session, self.seq, self.token = 1, 0, 0
+        self.tasks: dict[tuple[Any, int], list[Any]] = {}  # -> [stage, cause, since]
+        self.renewed = world.now
+        self.alive = True
+        self.hung = False
+        self.sick = False
+        self.node = world.rng.choice(MEMBERS)
+        self.asking = 0
+        world.after(0.1, self.beat)
+
+    def report(self) -> t.Report:
+        self.seq += 1
+        return t.Report(self.id, f"{self.id}:1", "m4", self.zone, self.spot, self.session,  # type: ignore[arg-type]
+                        self.seq, self.token, None,  # type: ignore[arg-type]
+                        tuple(t.TaskReport(task, attempt, stage, cause)  # type: ignore[arg-type]
+                              for (task, attempt), (stage, cause, _) in self.tasks.items()))
+
+    def step(self) -> None:
+        """Let time pass for the tasks and the lease."""
+        if not self.alive or self.hung:
+            return
+        now = self.world.now
+        if now - self.renewed > LEASE_S:
+            self.tasks.clear()
+            self.session += 1
+            self.seq = 0
+            self.renewed = now
+        for (task, _), entry in self.tasks.items():
+            job = self.world.specs[task.job]
+            if entry[0] == "fetching" and now - entry[2] > 0.2:
+                self.world.check_start(self, task)
+                entry[0], entry[2] = "running", now
+            if entry[0] == "running" and self.sick:
+                entry[0], entry[1] = "ended", "error"
+            elif entry[0] == "running" and not job.service and now - entry[2] > job.estimate_s:
+                entry[0], entry[1] = "ended", "done"
+                self.world.finished.add(task)
+
+    def beat(self) -> None:
+        if not self.alive:
+            return
+        self.world.after(REPORT_S * self.world.rng.uniform(0.75, 1.25), self.beat)
+        if self.hung:
+            return
+        self.step()
+        sent = self.world.now
+        session = self.session
+        self.asking += 1
+        asked = self.asking
+
+        def answered(answer: t.AnswerBeat | None) -> None:
+            if self.asking != asked or not self.alive or self.world.now > sent + 4:
+                return
+            self.step()
+            self.asking += 1
+            if answer is not None and answer.status == 200:
+                if answer.token >= self.token and self.session == session:
+                    self.token = answer.token
+                    self.renewed = max(self.renewed, sent)
+                    self.obey(answer.orders)
+            elif answer is not None and answer.owner:
+                self.node = answer.owner
+            else:
+                self.node = self.world.rng.choice(MEMBERS)
+
+        def gave_up() -> None:
+            if self.asking == asked:
+                self.asking += 1
+                self.node = self.world.rng.choice(MEMBERS)
+
+        self.world.ask(self.id, self.node, t.Beat(0, self.report()), answered)
+        self.world.after(4.0, gave_up)
+
+    def obey(self, orders: tuple[t.Order, ...]) -> None:
+        for order in orders:
+            key = (order.task, order.attempt)
+            if order.op == "start" and key not in self.tasks:
+                used = sum(self.world.specs[k[0].job].cpus
+                           for k, e in self.tasks.items() if e[0] != "ended")
+                if any(k[0] == order.task and e[0] != "ended" for k, e in self.tasks.items()):
+                    self.tasks[key] = ["ended", "busy", self.world.now]
+                elif used + self.world.specs[order.task.job].cpus > TYPE.cpus:
+                    self.tasks[key] = ["ended", "full", self.world.now]
+                else:
+                    self.tasks[key] = ["fetching", "", self.world.now]
+            elif order.op == "stop" and key in self.tasks and self.tasks[key][0] != "ended":
+                self.tasks[key] = ["ended", "stopped", self.world.now]
+            elif order.op == "forget":
+                self.tasks.pop(key, None)
+
+    def command(self, effect: t.Command) -> tuple[int, Any]:
+        self.step()
+        if effect.token < self.token or effect.session != self.session:
+            return 409, self.report()
+        self.token = effect.token
+        self.obey(effect.orders)
+        self.step()
+        return 200, self.report()
+
+
+class World:
+    def __init__(self, seed: int = 1, machines: int = 4, **settings: Any) -> None:
+        self.rng = random.Random(seed)
+        self.now = 0.0
+        self._heap: list[tuple[float, int, Callable[[], None]]] = []
+        self._count = itertools.count()
+        self.settings = settings
+        self.state = State(self)
+        self.nodes: dict[str, Node | None] = dict.fromkeys(MEMBERS)
+        self.generation = dict.fromkeys(MEMBERS, 0)
+        self.workers: dict[str, Worker] = {}
+        self.specs: dict[Any, JobSpec] = {}
+        self.finished: set[Any] = set()
+        self.broken: list[str] = []
+        self.cut: set[frozenset[str]] = set()  # pairs that can't reach each other
+        self.hold = False  # do cuts hold commands back, to deliver them late?
+        self.held: list[Callable[[], None]] = []
+        self.lose = 0.0  # share of messages to workers and of answers that get lost
+        self.capacity = machines
+        self.told: dict[str, str] = {}  # the last word a user got on a job
+        self.cancelled_at: dict[str, float] = {}
+        self.starts: list[tuple[float, Any, str]] = []
+        self._requests = itertools.count(1)
+        self._answers: dict[tuple[str, int, int], Callable[[Any], None]] = {}
+        self._names = itertools.count()
+        for _ in range(machines):
+            self.boot(ZONES[len(self.workers) % 3], False)
+        for member in MEMBERS:
+            self.start(member)
+        self.after(0.1, self._watch)
+
+    # --- time ------------------------------------------------------------------------
+
+    def after(self, seconds: float, what: Callable[[], None]) -> None:
+        heapq.heappush(self._heap, (self.now + seconds, next(self._count), what))
+
+    def run(self, seconds: float) -> None:
+        end = self.now + seconds
+        while self._heap and self._heap[0][0] <= end:
+            at, _, what = heapq.heappop(self._heap)
+            self.now = max(self.now, at)
+            what()
+        self.now = end
+
+    def until(self, condition: Callable[[], bool], limit: float = 60.0) -> None:
+        end = self.now + limit
+        while not condition():
+            assert self.now < end, f"not within {limit} s; now {self.now:.1f} s"
+            self.run(0.1)
+
+    # --- nodes -----------------------------------------------------------------------
+
+    def boot(self, zone: str, spot: bool) -> str:
+        id = f"i-{next(self._names):06d}"
+        self.workers[id] = Worker(self, id, zone, spot)
+        return id
+
+    def start(self, member: str) -> None:
+        self.generation[member] += 1
+        settings = platform(member, **self.settings)
+        node = Node(settings, Operators(), random.Random(self.rng.random()), Instant(self.now))
+        self.nodes[member] = node
+        self._tick(member, self.generation[member])
+
+    def crash(self, member: str) -> None:
+        self.nodes[member] = None
+        self.generation[member] += 1
+
+    def _tick(self, member: str, generation: int) -> None:
+        if self.generation[member] == generation and self.nodes[member] is not None:
+            self.feed(member, t.Tick())
+            self.after(0.05, lambda: self._tick(member, generation))
+
+    def feed(self, member: str, event: Any) -> None:
+        node = self.nodes[member]
+        if node is not None:
+            for effect in node.handle(self.now, event):
+                self._carry_out(member, effect)
+
+    def reachable(self, a: str, b: str) -> bool:
+        return frozenset((a, b)) not in self.cut
+
+    def _latency(self) -> float:
+        return self.rng.uniform(0.001, 0.02)
+
+    def _carry_out(self, member: str, effect: Any) -> None:
+        generation = self.generation[member]
+        began = self.now
+
+        def back(status: int, body: Any = None, sent: bool = True) -> None:
+            if self.generation[member] == generation:
+                self.feed(member, t.Outcome(effect.tag, status, body, sent, began))
+
+        match effect:
+            case t.Answer() | t.AnswerBeat():
+                waiter = self._answers.pop((member, generation, effect.request), None)
+                if waiter is not None:
+                    waiter(effect)
+            case t.Say():
+                for other in MEMBERS:
+                    if other != member and effect.member in (None, other):
+                        self._say(member, other, effect.message)
+            case t.Follow() | t.ReadAll() | t.Commit() | t.Grant() | t.Extend():
+                self._to_state(member, effect, back)
+            case t.Command():
+                self._to_worker(member, effect, back)
+            case t.ReadCatalog():
+                self.after(self._latency(), lambda: back(200, (TYPE,)))
+            case t.ListMachines():
+                listed = tuple(
+                    t.CloudMachine(w.id, f"{w.id}:1", "m4", w.zone, w.spot,  # type: ignore[arg-type]
+                                   "running" if w.alive else "failed", 1.0)
+                    for w in self.workers.values())
+                self.after(self._latency(), lambda: back(200, listed))
+            case t.Rent():
+                if len(self.workers) < self.capacity:
+                    ids = (self.boot(effect.zone, effect.spot),)
+                    self.after(self._latency(), lambda: back(200, ids))
+                else:
+                    self.after(self._latency(), lambda: back(503))
+            case t.Release():
+                for id in effect.machines:
+                    worker = self.workers.pop(id, None)
+                    if worker is not None:
+                        worker.alive = False
+                        worker.tasks.clear()
+                self.after(self._latency(), lambda: back(200))
+
+    def _say(self, member: str, other: str, message: dict[str, Any]) -> None:
+        if self.reachable(member, other):
+            self.after(self._latency(),
+                       lambda: self.feed(other, t.PeerSaid(member, message)))  # type: ignore[arg-type]
+
+    def _to_state(self, member: str, effect: Any, back: Callable[..., None]) -> None:
+        if not self.reachable(member, "state"):
+            self.after(1.5, lambda: back(0))
+            return
+
+        def serve() -> None:
+            status, body = self.state.serve(member, effect)
+            if self.rng.random() < self.lose:
+                self.after(1.5, lambda: back(0))  # applied, but the answer is lost
+            else:
+                self.after(self._latency(), lambda: back(status, body))
+
+        self.after(self._latency(), serve)
+
+    def _to_worker(self, member: str, effect: t.Command, back: Callable[..., None]) -> None:
+        id = effect.addr.partition(":")[0]
+
+        def deliver() -> tuple[int, Any] | None:
+            worker = self.workers.get(id)
+            if worker is None or not worker.alive:
+                return None
+            if worker.hung:
+                self.held.append(late)
+                return None
+            return worker.command(effect)
+
+        def late() -> None:
+            worker = self.workers.get(id)
+            if worker is not None and worker.alive:
+                worker.command(effect)
+
+        def arrive() -> None:
+            lost = self.rng.random() < self.lose
+            if not self.reachable(member, id) or lost:
+                if self.hold or lost:
+                    self.held.append(late)
+                self.after(2.0, lambda: back(0))
+                return
+            result = deliver()
+            if result is None:
+                self.after(2.0, lambda: back(0))
+            else:
+                self.after(self._latency(), lambda: back(*result))
+
+        self.after(self._latency(), arrive)
+
+    def deliver_held(self) -> None:
+        """What a cut, a loss or a hanging machine held back arrives now."""
+        held, self.held = self.held, []
+        for late in held:
+            late()
+
+    def ask(self, origin: str, member: str, event: Any, answered: Callable[[Any], None]) -> None:
+        def arrive() -> None:
+            if self.nodes[member] is None:
+                self.after(self._latency(), lambda: answered(None))
+                return
+            if not self.reachable(origin, member):
+                return
+            event.request = next(self._requests)
+
+            def reply(answer: Any) -> None:
+                if self.reachable(origin, member):
+                    self.after(self._latency(), lambda: answered(answer))
+
+            self._answers[(member, self.generation[member], event.request)] = reply
+            self.feed(member, event)
+
+        self.after(self._latency(), arrive)
+
+    # --- users -----------------------------------------------------------------------
+
+    def _user(self, member: str, event: Any) -> t.Answer | None:
+        got: list[Any] = []
+        self.ask("user", member, event, got.append)
+        end = self.now + 4.0
+        while not got and self.now < end:
+            self.run(0.05)
+        return got[0] if got else None
+
+    def submit(self, job: JobSpec, member: str = "n0") -> int:
+        self.specs[job.uid] = job
+        answer = self._user(member, t.Submit(0, job.uid, job))
+        if answer is not None and answer.status in (200, 201):
+            self.note(job.uid, answer.body["stage"])
+        return answer.status if answer else 0
+
+    def poll(self, uid: str, member: str = "n0") -> str:
+        answer = self._user(member, t.Poll(0, uid))
+        if answer is None or answer.status not in (200, 404):
+            return "?"
+        stage = "unknown" if answer.status == 404 else str(answer.body["stage"])
+        self.note(uid, stage)
+        return stage
+
+    def withdraw(self, uid: str, member: str = "n0") -> str:
+        answer = self._user(member, t.Withdraw(0, uid))
+        if answer is None or answer.status != 200:
+            return "?"
+        self.note(uid, answer.body["stage"])
+        if answer.body["stage"] == "cancelled":
+            self.cancelled_at.setdefault(uid, self.now)
+        return str(answer.body["stage"])
+
+    def note(self, uid: str, stage: str) -> None:
+        before = self.told.get(uid)
+        if before in ("done", "cancelled") and stage != before:
+            self.broken.append(f"went_back: {uid} {before} -> {stage}")
+        if before is not None and stage == "unknown":
+            self.broken.append(f"forgotten: {uid}")
+        if stage == "done":
+            missing = [i for i in range(self.specs[uid].tasks)
+                       if not any(x.job == uid and x.number == i for x in self.finished)]
+            if missing:
+                self.broken.append(f"not_done: {uid} lacks {missing}")
+        self.told[uid] = stage
+
+    # --- rules -----------------------------------------------------------------------
+
+    def on_machines(self) -> list[tuple[Any, Worker]]:
+        return [(task, w) for w in self.workers.values() if w.alive
+                for (task, _), e in w.tasks.items() if e[0] == "running"]
+
+    def check_start(self, worker: Worker, task: Any) -> None:
+        self.starts.append((self.now, task, worker.id))
+        for other, where in self.on_machines():
+            if other == task and where is not worker:
+                self.broken.append(f"ran_twice: {task} on {where.id} and {worker.id}")
+        job = self.specs[task.job]
+        used = job.cpus + sum(self.specs[x.job].cpus for x, _ in self.on_machines()
+                              if self.specs[x.job].team == job.team)
+        if used > self.settings.get("cpus_max", 16.0) + 1e-6:
+            self.broken.append(f"quota: {job.team} uses {used}")
+        if not job.spot and worker.spot:
+            self.broken.append(f"wrong_place: {task} on a spot machine")
+        if job.spread:
+            here = 1 + sum(1 for x, w in self.on_machines()
+                           if x.job == job.uid and w.zone == worker.zone)
+            if here > (job.tasks + 1) // 2:
+                self.broken.append(f"wrong_place: {task} makes {here} in zone {worker.zone}")
+
+    def _watch(self) -> None:
+        self.after(0.1, self._watch)
+        self.state.expire()
+        for worker in self.workers.values():
+            worker.step()
+        for task, worker in self.on_machines():
+            told = self.cancelled_at.get(task.job)
+            if told is not None and self.now > told + CANCEL_S:
+                self.broken.append(f"ran_cancelled: {task} on {worker.id}")
