--- a/runcourse/core/rental.py
+++ b/runcourse/core/rental.py
@@ -89,7 +89,7 @@
         self._again: list[Callable[[], None]] = []
         self._again_at = Instant(0.0)
         self._first_listed: dict[MachineId, Instant] = {}
-        self._recorded_at: dict[MachineId, Instant] = {}
+        self._recorded_at: dict[MachineId, tuple[Stamp, Instant]] = {}
         self._refused: dict[tuple[str, str, bool], tuple[float, Instant]] = {}
         self._pending_hires: dict[str, tuple[Rent, ShareNo]] = {}
         self._led_since: Instant | None = None
@@ -175,7 +175,7 @@
             used = 0.0
             for m in self.fleet.of_share(holding.number):
                 idle = -1.0 if m.busy or m.empty_since is None else now - m.empty_since
-                heard = -1.0 if m.heard < 0 else now - m.heard
+                heard = self._heard_ago(m)
                 used += m.used.cpus
                 machines[str(m.id)] = [round(heard, 2), round(idle, 2), m.used.cpus]
             message = {
@@ -190,6 +190,15 @@
             if leader and leader != self.cx.me:
                 self.cx.out.append(Say(self._member(leader), message))
 
+    def _heard_ago(self, machine: Machine) -> float:
+        """Seconds since it was heard; -1 for a new machine that was never heard. One that an
+        earlier owner knew is not new: it counts from the takeover."""
+        if machine.heard >= 0:
+            return self.cx.now - machine.heard
+        if machine.record.stamp > machine.share.epoch:
+            return -1.0
+        return self.cx.now - machine.share.since
+
     def _member(self, name: str) -> Any:
         return next((m for m in self.cx.members if m == name), None)
 
@@ -284,7 +293,6 @@
         def done(result: str, stamp: Stamp) -> None:
             self._adopting.discard(id)
 
-        self._recorded_at[id] = self.cx.now
         self.store.commit([self._guard(), (MACHINE + id, ABSENT)],
                           [(MACHINE + id, record.value(), None)], done, Store.OWNER)
 
@@ -352,7 +360,11 @@
             load = self.loads.get(record.share)
             if type_ is None or record.leaving:
                 continue
-            since = self._recorded_at.setdefault(id, now)
+            # A machine that changed shares is new to its owner, not late in coming up.
+            stamp, since = self._recorded_at.get(id, (record.stamp, now))
+            if stamp != record.stamp:
+                since = now
+            self._recorded_at[id] = (record.stamp, since)
             info = load.machines.get(str(id)) if load else None
             if info is None or info[0] < 0:
                 if now - since < self._boot_limit(type_):
@@ -362,7 +374,8 @@
                     self.cx.log("info", f"machine {id} did not come up, returned")
                     self._note_refusal(record.type, record.zone, record.spot, 10.0)
                     self._ask_owner(record.share, {"t": "retire", "machine": id})
-                    self._recorded_at[id] = Instant(now - self._boot_limit(type_) + 3.0)
+                    again = Instant(now - self._boot_limit(type_) + 3.0)
+                    self._recorded_at[id] = (record.stamp, again)
             elif info[1] >= 0:
                 idle[record.share].append((info[1], id, record))
         unmet: dict[ShareNo, list[Need]] = {}
