--- a/runcourse/core/quota.py
+++ b/runcourse/core/quota.py
@@ -85,11 +85,17 @@
         return held.cpus > limits.cpus + SLACK or held.gpus > limits.gpus + SLACK
 
     def may_stop(self, waiting: Job, guaranteed: bool, victim: Placement) -> bool:
-        """PROTOCOL's "Preemption": a higher rank, or a guarantee against borrowed room."""
+        """PROTOCOL's "Preemption": a higher rank, or a guarantee against borrowed room.
+
+        It would let a guarantee stop work of any rank; higher ranks are spared all the same,
+        since a replica stopped for an array costs its users more than the array gains.
+        """
         job = victim.job
         if job is None:
             return False
         if job.spec.rank > waiting.spec.rank:
             return True
-        return (guaranteed and job.spec.team != waiting.spec.team
+        return (guaranteed and job.spec.rank == waiting.spec.rank
+                and not (job.spec.service and not waiting.spec.service)
+                and job.spec.team != waiting.spec.team
                 and self.beyond(Team(job.spec.team)))
