Thrift: lasting tasks gather, surplus machines are emptied and returned

The settings' objectives name no cost, so thrift can't hang on them. Ruled out: the hiring (peak demand is real).

--- a/runcourse/config.py
+++ b/runcourse/config.py
@@ -104,7 +104,9 @@
     sample: Annotated[int, Meta(ge=2)] = 16  # machines scored for one task when work piles up
     turn_budget: Annotated[int, Meta(ge=1)] = 2000  # machine scores in one turn before sampling
     headroom: Annotated[float, Meta(ge=0, le=4)] = 1.0  # factor on the learnt spare room
+    peak_window: Annotated[float, Meta(ge=1)] = 40.0  # what was in use within it is kept
     idle_return: Annotated[float, Meta(ge=0)] | None = None  # None: from boot time and price
+    gather_weight: Annotated[float, Meta(ge=0)] = 50.0  # of keeping lasting tasks together
     image_weight: Annotated[float, Meta(ge=0)] = 100.0  # score of an image already held, per fetch
 
 
--- a/runcourse/core/machines.py
+++ b/runcourse/core/machines.py
@@ -81,10 +81,11 @@
 
 
 class Machine:
-    __slots__ = ("addr", "counter", "do_after", "do_open", "empty_since", "errors",
-                 "expired_session", "full_until", "heard", "id", "images", "last_answer",
-                 "moving", "notice_until", "placements", "quarantined_until", "record", "seq",
-                 "session", "settled", "share", "token_seen", "type", "unknown", "up_since", "used")
+    __slots__ = ("addr", "counter", "do_after", "do_open", "draining_until", "empty_since",
+                 "errors", "expired_session", "full_until", "heard", "id", "images",
+                 "last_answer", "lasting", "moving", "notice_until", "placements",
+                 "quarantined_until", "record", "seq", "session", "settled", "share",
+                 "token_seen", "type", "unknown", "up_since", "used")
 
     def __init__(self, id: MachineId, record: Record, holding: Holding, now: Instant) -> None:
         self.id = id
@@ -114,6 +115,8 @@
         self.quarantined_until = now
         self.errors: dict[JobId, Instant] = {}
         self.empty_since: Instant | None = now
+        self.draining_until = now  # its replicas move away, nothing new comes
+        self.lasting = 0.0  # CPUs of services placed on it
         self.moving = False  # a change of its record is under way: nothing new goes there
 
     @property
@@ -245,11 +248,15 @@
 
     def _activate(self, placement: Placement) -> None:
         placement.machine.used = placement.machine.used.plus(placement.size)
+        if placement.job is not None and placement.job.spec.service:
+            placement.machine.lasting += placement.size.cpus
         self.where.setdefault(placement.task, []).append(placement)
         self.watcher.placed(placement)
 
     def _deactivate(self, placement: Placement) -> None:
         placement.machine.used = placement.machine.used.minus(placement.size)
+        if placement.job is not None and placement.job.spec.service:
+            placement.machine.lasting -= placement.size.cpus
         others = self.where[placement.task]
         others.remove(placement)
         if not others:
@@ -483,6 +490,7 @@
             and machine.notice_until is None
             and self.silent_s(machine) < 1.25 * report_s + 1.0
             and self.cx.now >= machine.quarantined_until
+            and self.cx.now >= machine.draining_until
             and self.cx.now >= machine.full_until
         )
 
--- a/runcourse/core/node.py
+++ b/runcourse/core/node.py
@@ -255,7 +255,7 @@
                 self.rental.told_load(message)
             case "unknown":
                 self.rental.told_unknown(message)
-            case "retire" | "give":
+            case "retire" | "give" | "drain":
                 self.rental.asked(message)
             case "beat":
                 report = msgspec.convert(message["report"], Report)
--- a/runcourse/core/rental.py
+++ b/runcourse/core/rental.py
@@ -29,8 +29,6 @@
 
 LOAD_EVERY_S = 0.5
 PLAN_EVERY_S = 0.5
-PEAK_WINDOW_S = 40.0
-LONG_PEAK_WINDOW_S = 300.0  # where no aim speaks of cost
 CATALOG_EVERY_S = 30.0
 MAX_HIRE = 50
 MAX_RELEASE = 100
@@ -73,8 +71,6 @@
         self.fleet = fleet
         self.scheduler = scheduler
         self.loads: dict[ShareNo, Load] = {}
-        self.thrifty = any(o.kind in ("price", "useful")
-                           for o in cx.platform.settings.objectives)
         self._hires = 0
         self._claiming = False
         self._catalog_at = LONG_AGO
@@ -94,7 +90,7 @@
         self._pending_hires: dict[str, tuple[Rent, ShareNo]] = {}
         self._led_since: Instant | None = None
         self._peaks: deque[tuple[Instant, float]] = deque()
-        self._busy_at = cx.now
+        self._drain_at = cx.now
 
     # --- leadership ----------------------------------------------------------------------
 
@@ -145,7 +141,6 @@
             return
         if self._led_since is None:
             self._led_since = now
-            self._busy_at = now
             self._peaks.clear()
             self._first_listed.clear()
             self._recorded_at.clear()
@@ -516,14 +511,10 @@
         now = self.cx.now
         demand = sum(self._wanted(s) - 1.0 for s in self.shares.all() if s in self.loads)
         self._peaks.append((now, demand))
-        window = PEAK_WINDOW_S if self.thrifty else LONG_PEAK_WINDOW_S
+        window = self.cx.operators.peak_window
         while self._peaks and self._peaks[0][0] < now - window:
             self._peaks.popleft()
-        if demand > 0:
-            self._busy_at = now
-        keep = max(d for _, d in self._peaks) * (1.0 if self.thrifty else 1.5)
-        if now - self._busy_at > PEAK_WINDOW_S:
-            keep = 0.0  # nothing at all is asked for
+        keep = max(d for _, d in self._peaks) * self.cx.operators.headroom
         capacity = sum(self._cpus_of(s) for s in self.shares.all())
         for share in self.shares.all():
             for seconds, id, record in sorted(idle[share], reverse=True):
@@ -532,13 +523,33 @@
                 if limit is None:
                     # A machine costs its boot again, and a minute at the least.
                     limit = min(max(60.0 - type_.boot_s, 0.5 * type_.boot_s), 45.0)
-                if seconds > limit and capacity - type_.cpus >= keep * self.cx.operators.headroom:
+                if seconds > limit and capacity - type_.cpus >= keep:
                     capacity -= type_.cpus
                     self._ask_owner(share, {"t": "retire", "machine": id})
+        if now >= self._drain_at and not any(idle.values()):
+            self._drain(capacity, keep)
+
+    def _drain(self, capacity: float, keep: float) -> None:
+        """Nothing is empty, yet there is more than is needed: have a share empty one more."""
+        largest = max((t.cpus for t in self.fleet.types.values()), default=0.0)
+        if capacity - 1.5 * largest < keep:
+            return
+        slack = {s: self._cpus_of(s) - self.loads[s].used
+                 for s in self.shares.all() if s in self.loads}
+        if slack:
+            share = max(slack, key=lambda s: slack[s])
+            if slack[share] > 1.25 * largest:
+                self._drain_at = Instant(self.cx.now + 4.0)
+                self._ask_owner(share, {"t": "drain", "share": share})
 
     # --- what the leader asks of owners --------------------------------------------------
 
     def asked(self, message: dict[str, Any]) -> None:
+        if message["t"] == "drain":
+            share = ShareNo(int(message["share"]))
+            if self.shares.may_command(share):
+                self.scheduler.drain(share)
+            return
         machine = self.fleet.machines.get(MachineId(str(message["machine"])))
         if (machine is None or machine.busy or machine.moving or machine.record.leaving
                 or not self.shares.may_command(machine.share.number)):
--- a/runcourse/core/scheduler.py
+++ b/runcourse/core/scheduler.py
@@ -14,6 +14,7 @@
 from .shares import Holding, Shares
 from .store import DONE, JOB, Store
 
+SETTLED_S = 35.0  # a replica that started lately is not moved
 RETRY_S = 0.25  # between turns while tasks wait for room
 FLUSH_GAP_S = 0.3  # between two stored changes of one job that do not complete it
 
@@ -288,8 +289,22 @@
         if job.spec.image not in machine.images and job.spec.image_gb > 0:
             rate = machine.type.fetch_gb_per_s or 1.0
             score -= self.cx.operators.image_weight * job.spec.image_gb / rate
+        if self.cx.operators.gather_weight:
+            score += self.cx.operators.gather_weight * self._company(job, machine)
         return score
 
+    def _company(self, job: Job, machine: Machine) -> float:
+        """Extension: gather what lasts on few machines, and fill those
+        first, so that the others fall empty and can be returned. The progress score alone
+        scatters tasks that all lean one way, since it favours the lighter machine. Replicas
+        gather up to half of a machine only: its loss would take them all at once."""
+        assert machine.type is not None
+        cpus = max(machine.type.cpus, 1e-6)
+        lasting = machine.lasting / cpus
+        if job.spec.service and lasting >= 0.5:
+            lasting = 0.5 - lasting
+        return lasting + 0.2 * machine.used.cpus / cpus
+
     def _fill(self, work: Work, machines: list[Machine], claimed: set[MachineId],
               unlocated: dict[Team, Size]) -> int:
         """Start what fits; returns how many tasks found no machine."""
@@ -410,5 +425,43 @@
         spec = placement.job.spec if placement.job else None
         return spec.save_s if spec and spec.checkpoint_s > 0 else 0.0
 
-    def tick(self) -> None:
-        self.flush()
+    def _moves_to(self, placement: Placement, target: Machine) -> bool:
+        """Would the zones still be as the job asks, with this task there instead?"""
+        work = self.work.get(placement.task.job)
+        here = placement.machine.record.zone
+        there = target.record.zone
+        if work is None:
+            return False
+        return here == there or (self._zone_open(work, there) and not work.job.spec.together)
+
+    def drain(self, share: ShareNo) -> None:
+        """Move the replicas off one machine of the share, if the others have room and hold
+        their images: then a move takes a moment only, and an empty machine can be returned."""
+        now = self.cx.now
+        machines = [m for m in self.fleet.of_share(share) if self.fleet.usable(m)]
+        candidates = [
+            m for m in machines
+            if m.lasting > 0 and all(
+                p.job is not None and p.job.spec.service and p.stage == "running"
+                and not p.stopping and now - p.ran_since > SETTLED_S
+                for p in m.placements.values())
+        ]
+        for machine in sorted(candidates, key=lambda m: (m.lasting, m.id)):
+            rooms = {m.id: m.room for m in machines if m is not machine and m.placements}
+            for placement in machine.placements.values():
+                assert placement.job is not None
+                target = next((m for m in machines if m.id in rooms
+                               and placement.job.spec.image in m.images
+                               and self._permits(placement.job, m)
+                               and self._moves_to(placement, m)
+                               and placement.size.fits(rooms[m.id])), None)
+                if target is None:
+                    break
+                rooms[target.id] = rooms[target.id].minus(placement.size)
+            else:
+                self.cx.log("info", f"machine {machine.id}: {len(machine.placements)} replicas"
+                                    " move away")
+                machine.draining_until = Instant(now + 20.0)
+                for placement in machine.placements.values():
+                    self.fleet.stop(placement)
+                return
