--- a/runcourse/core/quota.py
+++ b/runcourse/core/quota.py
@@ -9,7 +9,7 @@
 from .ids import Team
 from .jobs import Job
 from .machines import Placement
-from .placement import NOTHING, Size
+from .placement import NOTHING, Size, fits_times
 
 SLACK = 1e-6
 
@@ -76,15 +76,25 @@
         return (held.cpus + job.size.cpus <= limits.cpus + SLACK
                 and held.gpus + job.size.gpus <= limits.gpus + SLACK)
 
-    def beyond(self, team: Team) -> bool:
-        """Does the team hold more than its guarantee?"""
+    def guaranteed_count(self, job: Job) -> int:
+        """How many more tasks of the job lie within its team's guarantee?"""
+        limits = self.teams.get(Team(job.spec.team))
+        if limits is None or (limits.cpus <= 0 and limits.gpus <= 0):
+            return 0
+        held = self.held(Team(job.spec.team))
+        return fits_times(Size(job.size.cpus, 0.0, job.size.gpus),
+                          Size(limits.cpus - held.cpus, 0.0, limits.gpus - held.gpus))
+
+    def beyond(self, team: Team, stopping: Size = NOTHING) -> bool:
+        """Does the team hold more than its guarantee, even without what is being stopped?"""
         limits = self.teams.get(team)
         if limits is None:
             return True
-        held = self.held(team)
+        held = self.held(team).minus(stopping)
         return held.cpus > limits.cpus + SLACK or held.gpus > limits.gpus + SLACK
 
-    def may_stop(self, waiting: Job, guaranteed: bool, victim: Placement) -> bool:
+    def may_stop(self, waiting: Job, guaranteed: bool, victim: Placement,
+                 stopping: Size = NOTHING) -> bool:
         """PROTOCOL's "Preemption": a higher rank, or a guarantee against borrowed room.
 
         It would let a guarantee stop work of any rank; higher ranks are spared all the same,
@@ -98,4 +108,4 @@
         return (guaranteed and job.spec.rank == waiting.spec.rank
                 and not (job.spec.service and not waiting.spec.service)
                 and job.spec.team != waiting.spec.team
-                and self.beyond(Team(job.spec.team)))
+                and self.beyond(Team(job.spec.team), stopping))
--- a/runcourse/core/scheduler.py
+++ b/runcourse/core/scheduler.py
@@ -287,8 +287,8 @@
         score = progress(machine.type.size, machine.used, job.size)
         # Extension: seconds of fetching saved where the image is held already.
         if job.spec.image not in machine.images and job.spec.image_gb > 0:
-            rate = machine.type.fetch_gb_per_s or 1.0
-            score -= self.cx.operators.image_weight * job.spec.image_gb / rate
+            score -= (self.cx.operators.image_weight * job.spec.image_gb
+                      / self._fetch_rate(machine))
         if self.cx.operators.gather_weight:
             score += self.cx.operators.gather_weight * self._company(job, machine)
         return score
@@ -312,6 +312,7 @@
         size = job.size
         team = Team(job.spec.team)
         extra = unlocated.get(team, NOTHING)
+        now = self.cx.now
         scored: list[list[Any]] = [
             [self._score(job, m), m] for m in machines
             if m.id not in claimed and self._permits(job, m) and size.fits(m.room)
@@ -344,6 +345,8 @@
                 attempt = machine.share.next_attempt()
             assert attempt is not None
             self.fleet.place(job, task.number, machine, attempt)
+            self.cx.log("debug", f"{task} placed on {machine.id}, {now - job.submitted:.2f} s"
+                                 " after its job")
             if size.fits(machine.room):
                 best[0] = self._score(job, machine)
             else:
@@ -378,40 +381,70 @@
 
     def _make_room(self, work: Work, machines: list[Machine], claimed: set[MachineId],
                    missing: int) -> None:
-        """Stop lesser work where the waiting task then fits; least work lost first."""
+        """Stop lesser work where the waiting task then fits; least work lost first.
+
+        Only as many tasks are served by a guarantee as lie within it, and no team is brought
+        below its own: else two teams would stop each other's tasks in turn.
+        """
         job = work.job
         now = self.cx.now
-        guaranteed = self.quota.guaranteed(job)
-        options: list[tuple[float, str, Machine, list[Placement]]] = []
-        for machine in machines:
-            if (machine.id in claimed or not self._permits(job, machine)
-                    or not self._zone_open(work, machine.record.zone)):
+        guaranteed = self.quota.guaranteed_count(job)
+        stopping: dict[Team, Size] = {}
+        for placement in self.fleet.placements(work.share):
+            if placement.active and placement.stopping and placement.job is not None:
+                team = Team(placement.job.spec.team)
+                stopping[team] = stopping.get(team, NOTHING).plus(placement.size)
+        while missing > 0:
+            best: tuple[float, str, Machine, list[Placement]] | None = None
+            for machine in machines:
+                if (machine.id in claimed or not self._permits(job, machine)
+                        or not self._zone_open(work, machine.record.zone)):
+                    continue
+                victims = self._victims(job, machine, guaranteed > 0, stopping)
+                if victims is None:
+                    continue
+                cost = sum(self._loss(v, now) for v in victims)
+                if job.spec.service and job.spec.image not in machine.images:
+                    cost += job.spec.image_gb / self._fetch_rate(machine)
+                if best is None or (cost, machine.id) < best[:2]:
+                    best = (cost, machine.id, machine, victims)
+            if best is None:
+                return
+            missing -= 1
+            guaranteed -= 1
+            claimed.add(best[2].id)
+            for victim in best[3]:
+                assert victim.job is not None
+                team = Team(victim.job.spec.team)
+                stopping[team] = stopping.get(team, NOTHING).plus(victim.size)
+                self.cx.log("info", f"{victim.task} stopped for {job.uid}")
+                self.fleet.stop(victim, self._grace(victim))
+
+    def _victims(self, job: Job, machine: Machine, guaranteed: bool,
+                 stopping: dict[Team, Size]) -> list[Placement] | None:
+        """What to stop on the machine so that one task of the job fits; None: it can't."""
+        room = machine.room
+        active = [p for p in machine.placements.values() if p.active]
+        for placement in active:
+            if placement.stopping:
+                room = room.plus(placement.size)
+        victims: list[Placement] = []
+        more = dict(stopping)
+        for placement in sorted((p for p in active if not p.stopping),
+                                key=lambda p: self._loss(p, self.cx.now)):
+            if job.size.fits(room):
+                break
+            if placement.job is None:
                 continue
-            active = [p for p in machine.placements.values() if p.active]
-            room = machine.room
-            for placement in active:
-                if placement.stopping:
-                    room = room.plus(placement.size)
-            victims: list[Placement] = []
-            lost = 0.0
-            candidates = sorted(
-                (p for p in active
-                 if not p.stopping and self.quota.may_stop(job, guaranteed, p)),
-                key=lambda p: self._loss(p, now))
-            for placement in candidates:
-                if job.size.fits(room):
-                    break
+            team = Team(placement.job.spec.team)
+            if self.quota.may_stop(job, guaranteed, placement, more.get(team, NOTHING)):
+                more[team] = more.get(team, NOTHING).plus(placement.size)
                 victims.append(placement)
-                lost += self._loss(placement, now)
                 room = room.plus(placement.size)
-            if job.size.fits(room):
-                options.append((lost, machine.id, machine, victims))
-        options.sort(key=lambda o: (o[0], o[1]))
-        for _, _, machine, victims in options[:missing]:
-            claimed.add(machine.id)
-            for victim in victims:
-                self.cx.log("info", f"{victim.task} stopped for {job.uid}")
-                self.fleet.stop(victim, self._grace(victim))
+        return victims if job.size.fits(room) else None
+
+    def _fetch_rate(self, machine: Machine) -> float:
+        return (machine.type.fetch_gb_per_s if machine.type else 0.0) or 1.0
 
     def _loss(self, placement: Placement, now: Instant) -> float:
         if placement.stage != "running" or placement.job is None:
--- a/runcourse/daemon.py
+++ b/runcourse/daemon.py
@@ -186,7 +186,6 @@
     async def _beat(self, body: bytes) -> Reply:
         report = wire.report(wire.decode_map(body))
         answer: t.AnswerBeat | None = await self._ask(t.Beat(0, report), BEAT_S)
-        log.debug("%s -> %s", report, answer)
         if answer is None or answer.status == 503:
             return Reply(503, wire.encode({}))
         if answer.status == 421:
