--- a/runcourse/core/scheduler.py
+++ b/runcourse/core/scheduler.py
@@ -285,10 +285,8 @@
     def _score(self, job: Job, machine: Machine) -> float:
         assert machine.type is not None
         score = progress(machine.type.size, machine.used, job.size)
-        # Extension: seconds of fetching saved where the image is held already.
-        if job.spec.image not in machine.images and job.spec.image_gb > 0:
-            score -= (self.cx.operators.image_weight * job.spec.image_gb
-                      / self._fetch_rate(machine))
+        # Extension: seconds until the image is there.
+        score -= self.cx.operators.image_weight * self._fetch_s(job, machine)
         if self.cx.operators.gather_weight:
             score += self.cx.operators.gather_weight * self._company(job, machine)
         return score
@@ -404,8 +402,8 @@
                 if victims is None:
                     continue
                 cost = sum(self._loss(v, now) for v in victims)
-                if job.spec.service and job.spec.image not in machine.images:
-                    cost += job.spec.image_gb / self._fetch_rate(machine)
+                if job.spec.service:
+                    cost += self._fetch_s(job, machine)
                 if best is None or (cost, machine.id) < best[:2]:
                     best = (cost, machine.id, machine, victims)
             if best is None:
@@ -443,8 +441,17 @@
                 room = room.plus(placement.size)
         return victims if job.size.fits(room) else None
 
-    def _fetch_rate(self, machine: Machine) -> float:
-        return (machine.type.fetch_gb_per_s if machine.type else 0.0) or 1.0
+    def _fetch_s(self, job: Job, machine: Machine) -> float:
+        """Seconds until the machine holds the job's image: fetches under way share its rate."""
+        if job.spec.image in machine.images or machine.type is None:
+            return 0.0
+        fetching = {job.spec.image: job.spec.image_gb}
+        for placement in machine.placements.values():
+            if placement.stage in ("sent", "fetching") and placement.job is not None:
+                other = placement.job.spec
+                if other.image not in machine.images:
+                    fetching[other.image] = other.image_gb
+        return sum(fetching.values()) / (machine.type.fetch_gb_per_s or 1.0)
 
     def _loss(self, placement: Placement, now: Instant) -> float:
         if placement.stage != "running" or placement.job is None:
