--- a/runcourse/core/node.py
+++ b/runcourse/core/node.py
@@ -78,6 +78,8 @@
         cx = self.cx
         cx.now = Instant(max(now, cx.now))
         self._dispatch(event)
+        if not self.authority.live:
+            self.authority.tick()  # a restart is short of time: workers' leases run
         self.scheduler.flush()
         self.scheduler.turn()
         self.fleet.push()
@@ -200,6 +202,8 @@
 
     def _reachable(self, member: Member) -> bool:
         heard, _ = self._peer_contact.get(member, (LONG_AGO, False))
+        # One that has just come back may not have said anything yet.
+        heard = max(heard, self.shares.live_since(member))
         return self.cx.now - heard < 2.5 * GOSSIP_EVERY_S
 
     def _pass_on(self, beat: Beat, share: ShareNo) -> None:
--- a/runcourse/core/shares.py
+++ b/runcourse/core/shares.py
@@ -12,7 +12,18 @@
 
 from .authority import Authority
 from .context import DRIFT, Context
-from .ids import ABSENT, Attempt, Incarnation, Instant, Member, ShareNo, Stamp, Team, make_attempt
+from .ids import (
+    ABSENT,
+    LONG_AGO,
+    Attempt,
+    Incarnation,
+    Instant,
+    Member,
+    ShareNo,
+    Stamp,
+    Team,
+    make_attempt,
+)
 from .store import LIVE, SHARE, Store
 
 HANDBACK_AFTER_S = 6.0  # a returned home node must have been up this long
@@ -70,6 +81,10 @@
             return owner[0]
         return None
 
+    def live_since(self, member: Member) -> Instant:
+        """When the member's present process was first seen to have a lease."""
+        return self._home_since.get(member, (None, LONG_AGO))[1]
+
     def guard(self, share: ShareNo) -> tuple[str, int]:
         """The condition that makes a late transaction of a former owner fail."""
         return (self.key(share), self.mine[share].epoch)
--- a/runcourse/core/types.py
+++ b/runcourse/core/types.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
 from typing import Any, NamedTuple
 
+import msgspec
+
 from .ids import NO_TOKEN, Attempt, MachineId, Member, Session, TaskId, Token
 from .jobs import JobSpec
 from .placement import Size
@@ -68,8 +69,7 @@
 # --- inputs ------------------------------------------------------------------------------
 
 
-@dataclass(slots=True)
-class Submit:
+class Submit(msgspec.Struct):
     """`spec` is None when the submission is faulty: then `fault` says why."""
 
     request: int
@@ -78,25 +78,21 @@
     fault: str = ""
 
 
-@dataclass(slots=True)
-class Poll:
+class Poll(msgspec.Struct):
     request: int
     uid: str
 
 
-@dataclass(slots=True)
-class Withdraw:
+class Withdraw(msgspec.Struct):
     request: int
     uid: str
 
 
-@dataclass(slots=True)
-class Health:
+class Health(msgspec.Struct):
     request: int
 
 
-@dataclass(slots=True)
-class Beat:
+class Beat(msgspec.Struct):
     """A worker's report: received here, or passed on by a peer (`relayed_by`)."""
 
     request: int
@@ -104,13 +100,11 @@
     relayed_by: Member | None = None
 
 
-@dataclass(slots=True)
-class Tick:
+class Tick(msgspec.Struct):
     pass
 
 
-@dataclass(slots=True)
-class Outcome:
+class Outcome(msgspec.Struct):
     """The result of an effect that asked for one: `tag` is the effect's.
 
     status 0 with `sent` false: surely never sent; with `sent` true: fate unknown.
@@ -123,8 +117,7 @@
     began: float = 0.0  # when the request was handed to the network
 
 
-@dataclass(slots=True)
-class PeerSaid:
+class PeerSaid(msgspec.Struct):
     member: Member
     message: dict[str, Any]
 
@@ -132,16 +125,14 @@
 # --- effects -----------------------------------------------------------------------------
 
 
-@dataclass(slots=True)
-class Answer:
+class Answer(msgspec.Struct):
     request: int
     status: int
     body: dict[str, Any]
     retry_after: float | None = None
 
 
-@dataclass(slots=True)
-class AnswerBeat:
+class AnswerBeat(msgspec.Struct):
     """A report's answer: 200 with token and orders, 421 with the owner, or 503."""
 
     request: int
@@ -151,19 +142,16 @@
     owner: Member | None = None
 
 
-@dataclass(slots=True)
-class ReadAll:
+class ReadAll(msgspec.Struct):
     tag: Any
 
 
-@dataclass(slots=True)
-class Follow:
+class Follow(msgspec.Struct):
     tag: Any
     since: int
 
 
-@dataclass(slots=True)
-class Commit:
+class Commit(msgspec.Struct):
     """Atomic change: `then` holds (key, value, grant); a value of None drops the key."""
 
     tag: Any
@@ -171,20 +159,17 @@
     then: list[tuple[str, Any, int | None]]
 
 
-@dataclass(slots=True)
-class Grant:
+class Grant(msgspec.Struct):
     tag: Any
     ttl_ms: int
 
 
-@dataclass(slots=True)
-class Extend:
+class Extend(msgspec.Struct):
     tag: Any
     grant: int
 
 
-@dataclass(slots=True)
-class Command:
+class Command(msgspec.Struct):
     """Orders straight to a worker."""
 
     tag: Any
@@ -194,18 +179,15 @@
     orders: tuple[Order, ...]
 
 
-@dataclass(slots=True)
-class ReadCatalog:
+class ReadCatalog(msgspec.Struct):
     tag: Any
 
 
-@dataclass(slots=True)
-class ListMachines:
+class ListMachines(msgspec.Struct):
     tag: Any
 
 
-@dataclass(slots=True)
-class Rent:
+class Rent(msgspec.Struct):
     tag: Any
     name: str
     type: str
@@ -214,21 +196,18 @@
     number: int
 
 
-@dataclass(slots=True)
-class Release:
+class Release(msgspec.Struct):
     tag: Any
-    machines: list[MachineId] = field(default_factory=list)
+    machines: list[MachineId]
 
 
-@dataclass(slots=True)
-class Say:
+class Say(msgspec.Struct):
     """A message to one peer, or to all of them when `member` is None."""
 
     member: Member | None
     message: dict[str, Any]
 
 
-@dataclass(slots=True)
-class Log:
+class Log(msgspec.Struct):
     level: str  # debug, info, warning, error
     text: str
