--- a/runcourse/core/machines.py
+++ b/runcourse/core/machines.py
@@ -81,7 +81,7 @@
 
 
 class Machine:
-    __slots__ = ("addr", "counter", "do_after", "do_open", "draining_until", "empty_since",
+    __slots__ = ("added", "addr", "counter", "do_after", "do_open", "draining_until", "empty_since",
                  "errors", "expired_session", "full_until", "heard", "id", "images",
                  "last_answer", "lasting", "moving", "notice_until", "placements",
                  "quarantined_until", "record", "seq", "session", "settled", "share",
@@ -115,6 +115,7 @@
         self.quarantined_until = now
         self.errors: dict[JobId, Instant] = {}
         self.empty_since: Instant | None = now
+        self.added = now
         self.draining_until = now  # its replicas move away, nothing new comes
         self.lasting = 0.0  # CPUs of services placed on it
         self.moving = False  # a change of its record is under way: nothing new goes there
@@ -478,6 +479,12 @@
     def silent_s(self, machine: Machine) -> float:
         return self.cx.now - machine.heard
 
+    def silent(self) -> list[str]:
+        """Machines of the shares owned here whose reports are overdue."""
+        limit = 1.25 * self.cx.platform.settings.workers.report_s + 1.5
+        return [m.id for m in self.machines.values()
+                if self.cx.now - max(m.heard, m.share.since, m.added) > limit]
+
     def usable(self, machine: Machine) -> bool:
         """May new tasks go there?"""
         report_s = self.cx.platform.settings.workers.report_s
--- a/runcourse/core/node.py
+++ b/runcourse/core/node.py
@@ -66,6 +66,7 @@
         self._peer_contact: dict[Member, tuple[Instant, bool]] = {}
         self._peer_running: dict[Member, dict[str, int]] = {}
         self._gossip_at = LONG_AGO
+        self._silent: dict[Member, set[str]] = {}  # machines that an owner does not hear
         self._redirected: dict[MachineId, Instant] = {}
         self._relaying: dict[MachineId, Instant] = {}
         self._relays: dict[int, tuple[int, Instant]] = {}
@@ -121,7 +122,8 @@
         if now >= self._gossip_at + GOSSIP_EVERY_S:
             self._gossip_at = now
             self.cx.out.append(Say(None, {
-                "t": "hello", "contact": self._contact(), "running": self.fleet.running_counts()}))
+                "t": "hello", "contact": self._contact(), "running": self.fleet.running_counts(),
+                "silent": self.fleet.silent()}))
         for number, (request, until) in list(self._relays.items()):
             if now > until:
                 del self._relays[number]
@@ -220,7 +222,8 @@
         if since is not None and now - since > RELAY_RETEST_S:
             del self._relaying[id]
             sent = None
-        if sent is None or now - sent > REDIRECT_MEMORY_S:
+        unheard = id in self._silent.get(owner, ())
+        if not unheard and (sent is None or now - sent > REDIRECT_MEMORY_S):
             self._redirected[id] = now
             self._answer(beat, AnswerBeat(beat.request, 421, owner=owner))
             return
@@ -246,6 +249,7 @@
             case "hello":
                 self._peer_contact[member] = (self.cx.now, bool(message["contact"]))
                 self._peer_running[member] = dict(message["running"])
+                self._silent[member] = set(message["silent"])
                 self.users.running = {
                     JobId(uid): n for counts in self._peer_running.values()
                     for uid, n in counts.items()}
--- a/runcourse/core/rental.py
+++ b/runcourse/core/rental.py
@@ -30,6 +30,7 @@
 LOAD_EVERY_S = 0.5
 PLAN_EVERY_S = 0.5
 CATALOG_EVERY_S = 30.0
+REPORT_PATIENCE_S = 4.0  # how long a worker waits for the answer to a report
 MAX_HIRE = 50
 MAX_RELEASE = 100
 
@@ -605,7 +606,10 @@
         answered, its tasks are nowhere and may start elsewhere before the lease is over."""
         now = self.cx.now
         workers = self.cx.platform.settings.workers
-        limit = max(2.5 * workers.report_s, 0.45 * workers.lease_s)
+        # A worker cut off from here needs a lost report and a try elsewhere to be heard again
+        # by way of another node.
+        limit = max(2.5 * workers.report_s, 0.45 * workers.lease_s,
+                    min(REPORT_PATIENCE_S + 1.0 + 1.25 * workers.report_s, 0.7 * workers.lease_s))
         for holding in self.shares.mine.values():
             if not self.shares.may_command(holding.number):
                 continue
