--- a/runcourse/core/node.py
+++ b/runcourse/core/node.py
@@ -117,6 +117,7 @@
         self.authority.tick()
         self.shares.tick()
         self.fleet.tick()
+        self.scheduler.tick()
         self.rental.tick()
         now = self.cx.now
         if now >= self._gossip_at + GOSSIP_EVERY_S:
--- a/runcourse/core/rental.py
+++ b/runcourse/core/rental.py
@@ -38,11 +38,12 @@
 class Need:
     """Waiting tasks of one shape in one share."""
 
-    __slots__ = ("count", "rank", "size", "spot", "types", "zone")
+    __slots__ = ("age", "count", "rank", "size", "spot", "types", "zone")
 
     def __init__(self, raw: dict[str, Any]) -> None:
         self.size = Size(*raw["size"])
         self.count = int(raw["n"])
+        self.age = float(raw["age"])  # how long the oldest has waited
         self.rank = int(raw["rank"])
         self.spot = bool(raw["spot"])
         self.types: list[str] | None = raw["types"]
@@ -163,10 +164,12 @@
         now = self.cx.now
         for holding in self.shares.mine.values():
             needs: dict[tuple[Any, ...], int] = {}
+            ages: dict[tuple[Any, ...], float] = {}
             for job, count in self.scheduler.unmet.get(holding.number, ()):
                 spec = job.spec
                 key = (tuple(job.size), spec.rank, spec.spot, spec.types, spec.zone)
                 needs[key] = needs.get(key, 0) + count
+                ages[key] = max(ages.get(key, 0.0), now - job.submitted)
             machines = {}
             used = 0.0
             for m in self.fleet.of_share(holding.number):
@@ -178,7 +181,7 @@
                 "t": "load", "share": holding.number, "used": used, "machines": machines,
                 "needs": [{"size": list(k[0]), "rank": k[1], "spot": k[2],
                            "types": list(k[3]) if k[3] is not None else None, "zone": k[4],
-                           "n": n} for k, n in needs.items()],
+                           "n": n, "age": ages[k]} for k, n in needs.items()],
             }
             if self.leading:
                 self.told_load(message)
@@ -458,6 +461,9 @@
                 for spot in (False, True):
                     if not self._serves(need, type_.name, zone, spot):
                         continue
+                    # Dear machines for work that may use cheap ones: only if it has waited.
+                    if need.spot and not spot and need.age < 0.5 * type_.boot_s:
+                        continue
                     if self._refused.get((type_.name, zone, spot), (0.0, now))[1] > now:
                         continue
                     price = type_.spot_price if spot else type_.price
@@ -518,7 +524,7 @@
         keep = max(d for _, d in self._peaks) * self.cx.operators.headroom
         capacity = sum(self._cpus_of(s) for s in self.shares.all())
         for share in self.shares.all():
-            for seconds, id, record in sorted(idle[share], reverse=True):
+            for seconds, id, record in sorted(idle[share], key=lambda i: (i[2].spot, -i[0])):
                 type_ = self.fleet.types[record.type]
                 limit = self.cx.operators.idle_return
                 if limit is None:
--- a/runcourse/core/scheduler.py
+++ b/runcourse/core/scheduler.py
@@ -14,6 +14,7 @@
 from .shares import Holding, Shares
 from .store import DONE, JOB, Store
 
+DRAIN_S = 45.0  # a machine that is not empty by then takes tasks again
 SETTLED_S = 35.0  # a replica that started lately is not moved
 RETRY_S = 0.25  # between turns while tasks wait for room
 FLUSH_GAP_S = 0.3  # between two stored changes of one job that do not complete it
@@ -52,6 +53,7 @@
         self.fleet: Fleet  # set by the node, which builds the two for each other
         self.work: dict[JobId, Work] = {}
         self.unmet: dict[ShareNo, list[tuple[Job, int]]] = {}
+        self._draining: list[Machine] = []
         self._dirty = True
         self._next_turn = Instant(0.0)
 
@@ -301,7 +303,9 @@
         lasting = machine.lasting / cpus
         if job.spec.service and lasting >= 0.5:
             lasting = 0.5 - lasting
-        return lasting + 0.2 * machine.used.cpus / cpus
+        # What may use cheap machines fills the dear ones only where they stay anyway.
+        dear = 0.0 if machine.record.spot or machine.lasting > 0 or job.spec.service else 0.3
+        return lasting + 0.2 * machine.used.cpus / cpus - dear
 
     def _fill(self, work: Work, machines: list[Machine], claimed: set[MachineId],
               unlocated: dict[Team, Size]) -> int:
@@ -475,33 +479,46 @@
         return here == there or (self._zone_open(work, there) and not work.job.spec.together)
 
     def drain(self, share: ShareNo) -> None:
-        """Move the replicas off one machine of the share, if the others have room and hold
-        their images: then a move takes a moment only, and an empty machine can be returned."""
-        now = self.cx.now
+        """Empty the machine of the share that holds the fewest replicas: nothing new goes
+        there, and once only replicas are left they move."""
         machines = [m for m in self.fleet.of_share(share) if self.fleet.usable(m)]
-        candidates = [
-            m for m in machines
-            if m.lasting > 0 and all(
-                p.job is not None and p.job.spec.service and p.stage == "running"
-                and not p.stopping and now - p.ran_since > SETTLED_S
-                for p in m.placements.values())
-        ]
-        for machine in sorted(candidates, key=lambda m: (m.lasting, m.id)):
-            rooms = {m.id: m.room for m in machines if m is not machine and m.placements}
-            for placement in machine.placements.values():
-                assert placement.job is not None
-                target = next((m for m in machines if m.id in rooms
-                               and placement.job.spec.image in m.images
-                               and self._permits(placement.job, m)
-                               and self._moves_to(placement, m)
-                               and placement.size.fits(rooms[m.id])), None)
-                if target is None:
-                    break
-                rooms[target.id] = rooms[target.id].minus(placement.size)
-            else:
-                self.cx.log("info", f"machine {machine.id}: {len(machine.placements)} replicas"
-                                    " move away")
-                machine.draining_until = Instant(now + 20.0)
-                for placement in machine.placements.values():
-                    self.fleet.stop(placement)
+        lasting = [m for m in machines if m.lasting > 0]
+        if len(lasting) >= 2:
+            machine = min(lasting, key=lambda m: (m.lasting, m.id))
+            machine.draining_until = Instant(self.cx.now + DRAIN_S)
+            self._draining.append(machine)
+
+    def _move_away(self, machine: Machine) -> None:
+        """Move the replicas if the others have room and hold their images: then a move takes
+        a moment only, and the empty machine can be returned."""
+        now = self.cx.now
+        placements = list(machine.placements.values())
+        if not all(p.job is not None and p.job.spec.service and p.stage == "running"
+                   and not p.stopping and now - p.ran_since > SETTLED_S for p in placements):
+            return
+        machines = [m for m in self.fleet.of_share(machine.share.number)
+                    if m is not machine and self.fleet.usable(m) and m.placements]
+        rooms = {m.id: m.room for m in machines}
+        for placement in placements:
+            assert placement.job is not None
+            target = next((m for m in machines
+                           if placement.job.spec.image in m.images
+                           and self._permits(placement.job, m)
+                           and self._moves_to(placement, m)
+                           and placement.size.fits(rooms[m.id])), None)
+            if target is None:
                 return
+            rooms[target.id] = rooms[target.id].minus(placement.size)
+        self.cx.log("info", f"machine {machine.id}: {len(placements)} replicas move away")
+        self._draining.remove(machine)
+        machine.draining_until = Instant(now + DRAIN_S)
+        for placement in placements:
+            self.fleet.stop(placement)
+
+    def tick(self) -> None:
+        for machine in list(self._draining):
+            if (self.cx.now >= machine.draining_until
+                    or self.fleet.machines.get(machine.id) is not machine):
+                self._draining.remove(machine)
+            elif self.shares.may_command(machine.share.number):
+                self._move_away(machine)
