--- /dev/null
+++ b/tests/standins.py
@@ -0,0 +1,242 @@
+"""Stand-ins for the state service, the cloud and its workers, over loopback HTTP.
+
+Run as a program, it prints a settings file for one controller and serves until it is ended:
+
+    python3 tests/standins.py /tmp/settings.toml
+    python3 run.py serve --config /tmp/settings.toml
+"""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import socket
+import sys
+from pathlib import Path
+from typing import Any
+from urllib.parse import parse_qs
+
+ROOT = Path(__file__).resolve().parent.parent
+sys.path[:0] = [str(ROOT), str(ROOT / "target" / "deps")]
+
+from runcourse.net.http import Client, NotSent, Reply, Server, Unanswered  # noqa: E402
+from runcourse.wire.messages import decode_map, encode  # noqa: E402
+
+
+def free_port() -> int:
+    with socket.socket() as s:
+        s.bind(("127.0.0.1", 0))
+        return int(s.getsockname()[1])
+
+
+def reply(status: int, body: Any) -> Reply:
+    return Reply(status, encode(body))
+
+
+class StateService:
+    def __init__(self) -> None:
+        self.data: dict[str, tuple[Any, int]] = {}
+        self.log: list[dict[str, Any]] = []
+        self.epoch = 0
+        self.grants = itertools.count(1)
+        self.down = False
+        self.server = Server(self.serve, 100)
+
+    async def serve(self, method: str, target: str, body: bytes) -> Reply:
+        if self.down:
+            return reply(503, {"error": "trouble"})
+        path, _, query = target.partition("?")
+        asked = {k: v[0] for k, v in parse_qs(query).items()}
+        if path == "/keys":
+            pairs = [{"key": k, "value": v, "stamp": s} for k, (v, s) in sorted(self.data.items())
+                     if k.startswith(asked["under"]) and k > asked.get("since", "")]
+            return reply(200, {"pairs": pairs, "has_next": False, "epoch": self.epoch})
+        if path == "/follow":
+            events = [e for e in self.log if e["stamp"] > int(asked["since"])]
+            return reply(200, {"epoch": self.epoch, "events": events})
+        if path == "/commit":
+            return self.commit(decode_map(body))
+        if path == "/leases":
+            return reply(200, {"grant": next(self.grants)})
+        if path.startswith("/leases/"):
+            return reply(200, {})
+        return reply(404, {})
+
+    def commit(self, body: dict[str, Any]) -> Reply:
+        failed = [c["key"] for c in body["when"]
+                  if self.data.get(c["key"], (None, 0))[1] != c["stamp"]]
+        if failed:
+            return reply(409, {"failed": failed, "epoch": self.epoch})
+        self.epoch += 1
+        for op in body["then"]:
+            if "write" in op:
+                self.data[op["write"]] = (op["value"], self.epoch)
+                self.log.append({"write": op["write"], "value": op["value"], "stamp": self.epoch})
+            else:
+                self.data.pop(op["drop"], None)
+                self.log.append({"drop": op["drop"], "stamp": self.epoch})
+        return reply(200, {"epoch": self.epoch})
+
+
+class Worker:
+    """Reports every 0.3 s and runs each task for half a second; services go on."""
+
+    def __init__(self, cloud: Cloud, host: str, hull: str, yard: str, lendable: bool) -> None:
+        self.cloud = cloud
+        self.about = {"host": host, "hull": hull, "yard": yard, "lendable": lendable}
+        self.tick = 0
+        self.baton = 0
+        self.legs: dict[tuple[str, int], dict[str, Any]] = {}
+        self.server = Server(self.serve, 10)
+        self.task = asyncio.create_task(self.run())
+
+    def report(self) -> dict[str, Any]:
+        self.tick += 1
+        return {**self.about, "addr": f"127.0.0.1:{self.server.port}", "tenure": 1,
+                "tick": self.tick, "baton": self.baton, "warning_s": None,
+                "legs": list(self.legs.values())}
+
+    async def run(self) -> None:
+        await asyncio.sleep(0.2)
+        await self.server.start("127.0.0.1", 0)
+        client = Client("127.0.0.1", self.cloud.api_port, limit=1)
+        while True:
+            try:
+                status, body = await client.request("POST", "/agent/beat", encode(self.report()),
+                                                    4.0)
+                if status == 200:
+                    self.obey(decode_map(body))
+            except (NotSent, Unanswered):
+                pass
+            await asyncio.sleep(0.3)
+
+    async def serve(self, method: str, target: str, body: bytes) -> Reply:
+        if target == "/status":
+            return reply(200, self.report())
+        message = decode_map(body)
+        if message["baton"] < self.baton or message["tenure"] != 1:
+            return reply(409, self.report())
+        self.obey(message)
+        return reply(200, self.report())
+
+    def obey(self, message: dict[str, Any]) -> None:
+        if message["baton"] < self.baton:
+            return
+        self.baton = message["baton"]
+        for order in message["orders"]:
+            key = (order["leg"], order["try"])
+            if order["verb"] == "run" and key not in self.legs:
+                self.legs[key] = {"leg": order["leg"], "try": order["try"], "stage": "running"}
+                if order["leg"] not in self.cloud.lasting:
+                    asyncio.get_running_loop().call_later(0.5, self.end, key, "done")
+            elif order["verb"] == "kill":
+                self.end(key, "halted")
+            elif order["verb"] == "clear":
+                self.legs.pop(key, None)
+
+    def end(self, key: tuple[str, int], cause: str) -> None:
+        if key in self.legs and self.legs[key]["stage"] == "running":
+            self.legs[key].update(stage="ended", cause=cause)
+
+
+class Cloud:
+    def __init__(self, api_port: int) -> None:
+        self.api_port = api_port
+        self.workers: dict[str, Worker] = {}
+        self.hires: dict[str, list[str]] = {}
+        self.lasting: set[str] = set()  # tasks that run until they are stopped
+        self.names = itertools.count()
+        self.server = Server(self.serve, 20)
+
+    async def serve(self, method: str, target: str, body: bytes) -> Reply:
+        path = target.partition("?")[0]
+        if path == "/catalog":
+            return reply(200, {"hulls": [{
+                "label": "m4", "vcpus": 4, "gpus": 0, "ram_gb": 16, "cache_gb": 40,
+                "pull_gb_per_s": 1.0, "hourly": 1.0, "market_price": 0.3, "startup_s": 1,
+                "yards": ["a", "b"]}]})
+        if path == "/machines" and method == "GET":
+            hosts = [{"uid": id, "addr": f"127.0.0.1:{w.server.port}", "hull": "m4",
+                      "yard": w.about["yard"], "lendable": w.about["lendable"],
+                      "stage": "running", "age_s": 1.0}
+                     for id, w in sorted(self.workers.items()) if w.tick]
+            return reply(200, {"hosts": hosts, "has_next": False})
+        asked = decode_map(body)
+        if path == "/machines":
+            if asked["hire"] not in self.hires:
+                ids = [f"i-{next(self.names):06d}" for _ in range(min(asked["number"], 2))]
+                for id in ids:
+                    self.workers[id] = Worker(self, id, asked["hull"], asked["yard"],
+                                              asked["lendable"])
+                self.hires[asked["hire"]] = ids
+            return reply(200, {"hosts": self.hires[asked["hire"]]})
+        for id in asked["hosts"]:
+            worker = self.workers.pop(id, None)
+            if worker is not None:
+                worker.task.cancel()
+                await worker.server.close()
+        return reply(200, {})
+
+
+SETTINGS = """\
+member = "runner-0"
+area = "a"
+api_addr = "127.0.0.1:{api}"
+internal_addr = "127.0.0.1:{internal}"
+
+[services]
+cloud = "127.0.0.1:{cloud}"
+state = "127.0.0.1:{state}"
+
+[settings]
+nodes = 1
+zones = ["a", "b"]
+
+[[settings.teams]]
+name = "crew-0"
+cpus_max = 16.0
+
+[settings.workers]
+report_s = 0.3
+lease_s = 3.0
+cancel_s = 10.0
+
+[settings.state]
+rps = 400.0
+write_rps = 200.0
+
+[settings.cloud]
+rps = 20.0
+list_lag_s = 0.5
+"""
+
+
+class Standins:
+    async def start(self) -> str:
+        """Serve, and give the settings for a controller beside them."""
+        api = free_port()
+        self.state = StateService()
+        self.cloud = Cloud(api)
+        for server in (self.state.server, self.cloud.server):
+            await server.start("127.0.0.1", 0)
+        self.api = api
+        return SETTINGS.format(api=api, internal=free_port(), cloud=self.cloud.server.port,
+                               state=self.state.server.port)
+
+    async def stop(self) -> None:
+        for worker in self.cloud.workers.values():
+            worker.task.cancel()
+            await worker.server.close()
+        await self.state.server.close()
+        await self.cloud.server.close()
+
+
+async def _main(path: Path) -> None:
+    standins = Standins()
+    path.write_text(await standins.start(), encoding="utf-8")
+    print(f"settings in {path}; the API is to be 127.0.0.1:{standins.api}", flush=True)
+    await asyncio.Event().wait()
+
+
+if __name__ == "__main__":
+    asyncio.run(_main(Path(sys.argv[1])))
--- /dev/null
+++ b/tests/test_config.py
@@ -0,0 +1,52 @@
+"""Faulty settings name file, field and reason; the exit code is 2."""
+
+from pathlib import Path
+
+import pytest
+from standins import SETTINGS
+
+from runcourse.cli import main
+from runcourse.config import SettingsError, load_operators, load_platform
+
+GOOD = SETTINGS.format(api=1, internal=2, cloud=3, state=4)
+
+
+@pytest.mark.parametrize(("before", "after", "field"), [
+    ('member = "runner-0"', "", "member"),
+    ("lease_s = 3.0", 'lease_s = "long"', "settings.workers.lease_s"),
+    ("rps = 400.0", "rps = 0.0", "settings.state.rps"),
+    ("127.0.0.1:1", "127.0.0.1", "api_addr"),
+    ("nodes = 1", "nodes = 3", "settings.nodes"),
+    ("[settings]", "[settings", "file"),
+])
+def test_faults_of_the_platforms_file(tmp_path: Path, before: str, after: str, field: str,
+                                      capsys: pytest.CaptureFixture[str]) -> None:
+    path = tmp_path / "s.toml"
+    path.write_text(GOOD.replace(before, after, 1))
+    with pytest.raises(SettingsError) as caught:
+        load_platform(path)
+    assert str(path) in str(caught.value) and field in str(caught.value)
+    assert main(["serve", "--config", str(path)]) == 2
+    assert field in capsys.readouterr().err
+
+
+@pytest.mark.parametrize(("text", "part"), [
+    ("(runcourse (sample 1))", "sample"), ("(runcourse (colour 1))", "colour"),
+    ("(runcourse (sample 4) (sample 5))", "twice"), ("(other)", "expected"),
+    ("(runcourse (sync-every", "S-expression"),
+])
+def test_faults_of_the_operators_file(tmp_path: Path, text: str, part: str) -> None:
+    path = tmp_path / "o.sexp"
+    path.write_text(text)
+    with pytest.raises(SettingsError, match=part):
+        load_operators(path)
+
+
+def test_good_files(tmp_path: Path) -> None:
+    path = tmp_path / "s.toml"
+    path.write_text(GOOD + "\nunknown = 1\n")
+    assert load_platform(path).settings.workers.lease_s == 3.0
+    operators = tmp_path / "o.sexp"
+    operators.write_text("(runcourse (sample 8) (headroom 1.5))")
+    assert load_operators(operators).sample == 8
+    assert main(["check-config", "--config", str(path), "--operators", str(operators)]) == 0
