--- a/runcourse/core/scheduler.py
+++ b/runcourse/core/scheduler.py
@@ -53,6 +53,11 @@
         self.fleet: Fleet  # set by the node, which builds the two for each other
         self.work: dict[JobId, Work] = {}
         self.unmet: dict[ShareNo, list[tuple[Job, int]]] = {}
+        self._lateness: dict[str, tuple[float, ...]] = {}
+        for aim in cx.platform.settings.objectives:
+            if aim.kind == "deadline" and aim.job_class is not None:
+                times = {*self._lateness.get(aim.job_class, ()), aim.times or 1.0}
+                self._lateness[aim.job_class] = tuple(sorted(times))
         self._draining: list[Machine] = []
         self._dirty = True
         self._next_turn = Instant(0.0)
@@ -248,10 +253,21 @@
                 unmet.append((work.job, missing))
         self.unmet[holding.number] = unmet
 
-    def _urgency(self, work: Work) -> tuple[bool, int, float, str]:
+    def _urgency(self, work: Work) -> tuple[bool, int, int, float, str]:
+        """Guarantees, rank, then the nearest deadline among those that can still be kept: a job
+        that will be late anyway must not make the next one late too."""
         job = work.job
-        due = job.submitted + job.spec.deadline_s if job.spec.deadline_s else math.inf
-        return (not self.quota.guaranteed(job), job.spec.rank, due, job.uid)
+        spec = job.spec
+        tier, due = 0, math.inf
+        if spec.deadline_s:
+            due = job.submitted + spec.deadline_s
+            left = spec.estimate_s
+            begun = job.done_bits or work.finished or any(work.zones.values())
+            for times in self._lateness.get(spec.lane, (1.0,)):
+                if begun or self.cx.now + left <= job.submitted + times * spec.deadline_s:
+                    break
+                tier += 1
+        return (not self.quota.guaranteed(job), spec.rank, tier, due, job.uid)
 
     def _unlocated(self, holding: Holding) -> dict[Team, Size]:
         """Tasks that an earlier owner may have started on machines not heard of yet."""
