--- a/runcourse/core/rental.py
+++ b/runcourse/core/rental.py
@@ -615,7 +615,7 @@
         # A worker cut off from here needs a lost report and a try elsewhere to be heard again
         # by way of another node.
         limit = max(2.5 * workers.report_s, 0.45 * workers.lease_s,
-                    min(REPORT_PATIENCE_S + 1.0 + 1.25 * workers.report_s, 0.7 * workers.lease_s))
+                    min(REPORT_PATIENCE_S + 1.75 + 1.25 * workers.report_s, 0.7 * workers.lease_s))
         for holding in self.shares.mine.values():
             if not self.shares.may_command(holding.number):
                 continue
