A moved machine is usable at once and keeps its images

Cause: a machine given to another share had to report there first (up to 4 s) and was taken to hold no images.

--- a/runcourse/core/machines.py
+++ b/runcourse/core/machines.py
@@ -174,6 +174,7 @@
         self.where: dict[TaskId, list[Placement]] = {}
         self.addrs: dict[MachineId, str] = {}
         self._dirty: dict[MachineId, None] = {}
+        self._given: dict[MachineId, tuple[Instant, dict[str, Any]]] = {}
         store.listen(MACHINE, self._record_changed)
         store.listen(CATALOG, self._catalog_changed)
 
@@ -210,6 +211,39 @@
         machine.type = self.types.get(record.type)
         machine.addr = self.addrs.get(id, "")
         self.machines[id] = machine
+        self._take_over_state(machine)
+
+    # --- machines that change owners -----------------------------------------------------
+
+    def state_of(self, machine: Machine) -> dict[str, Any]:
+        """What the next owner needs to command the machine before its next report."""
+        return {"machine": machine.id, "addr": machine.addr, "session": machine.session,
+                "seq": machine.seq, "token": machine.token_seen,
+                "images": list(machine.images.items())}
+
+    def given(self, state: dict[str, Any]) -> None:
+        """A former owner passes a machine's state on, perhaps before its record is seen."""
+        id = MachineId(str(state["machine"]))
+        self._given[id] = (self.cx.now, state)
+        machine = self.machines.get(id)
+        if machine is not None:
+            self._take_over_state(machine)
+
+    def _take_over_state(self, machine: Machine) -> None:
+        at, state = self._given.get(machine.id, (LONG_AGO, None))
+        if state is None or self.cx.now - at > 5.0:
+            return
+        del self._given[machine.id]
+        for image, size in state["images"]:
+            machine.images[str(image)] = float(size)
+        # Only a machine that came empty from its owner, and nothing newer heard of it.
+        if machine.settled and not machine.session:
+            machine.addr = str(state["addr"])
+            machine.session = Session(int(state["session"]))
+            machine.seq = int(state["seq"])
+            machine.token_seen = Token(int(state["token"]))
+            machine.heard = machine.up_since = self.cx.now
+            self.watcher.changed()
 
     def _drop(self, id: MachineId, why: str) -> None:
         machine = self.machines.pop(id, None)
--- a/runcourse/core/node.py
+++ b/runcourse/core/node.py
@@ -264,7 +264,7 @@
                 self.rental.told_load(message)
             case "unknown":
                 self.rental.told_unknown(message)
-            case "retire" | "give" | "drain":
+            case "retire" | "give" | "drain" | "given":
                 self.rental.asked(message)
             case "beat":
                 report = msgspec.convert(message["report"], Report)
--- a/runcourse/core/rental.py
+++ b/runcourse/core/rental.py
@@ -27,8 +27,8 @@
     Say,
 )
 
-LOAD_EVERY_S = 0.5
-PLAN_EVERY_S = 0.5
+LOAD_EVERY_S = 0.25
+PLAN_EVERY_S = 0.25
 CATALOG_EVERY_S = 30.0
 REPORT_PATIENCE_S = 4.0  # how long a worker waits for the answer to a report
 MAX_HIRE = 50
@@ -432,7 +432,7 @@
                         seconds, id, record = entry
                         type_ = self.fleet.types[record.type]
                         n = fits_times(need.size, type_.size)
-                        if need.count <= 0 or seconds < 1.0:
+                        if need.count <= 0 or seconds < 0.2:
                             break
                         if n and self._serves(need, record.type, record.zone, record.spot):
                             need.count -= n
@@ -552,6 +552,9 @@
     # --- what the leader asks of owners --------------------------------------------------
 
     def asked(self, message: dict[str, Any]) -> None:
+        if message["t"] == "given":
+            self.fleet.given(message)
+            return
         if message["t"] == "drain":
             share = ShareNo(int(message["share"]))
             if self.shares.may_command(share):
@@ -572,6 +575,7 @@
         """Give a machine away or mark it leaving; nothing new goes there from now on."""
         machine.moving = True
         record = machine.record
+        state = self.fleet.state_of(machine)
 
         def attempt() -> None:
             if self.fleet.machines.get(machine.id) is not machine:
@@ -583,6 +587,8 @@
         def done(result: str, stamp: Stamp) -> None:
             if result == "ok":
                 machine.moving = False
+                if "share" in changes:
+                    self._ask_owner(changes["share"], {"t": "given", **state})
             elif result == "conflict":
                 # Perhaps an earlier try was applied: look before anything new goes there.
                 self.store.sync(checked)
