--- a/runcourse/core/rental.py
+++ b/runcourse/core/rental.py
@@ -38,7 +38,7 @@
 class Need:
     """Waiting tasks of one shape in one share."""
 
-    __slots__ = ("age", "count", "rank", "size", "spot", "types", "zone")
+    __slots__ = ("age", "count", "rank", "shut", "size", "spot", "types", "zone")
 
     def __init__(self, raw: dict[str, Any]) -> None:
         self.size = Size(*raw["size"])
@@ -48,6 +48,7 @@
         self.spot = bool(raw["spot"])
         self.types: list[str] | None = raw["types"]
         self.zone: str | None = raw["zone"]
+        self.shut: list[str] = raw["shut"]  # zones that `spread` closes
 
 
 class Load:
@@ -165,9 +166,9 @@
         for holding in self.shares.mine.values():
             needs: dict[tuple[Any, ...], int] = {}
             ages: dict[tuple[Any, ...], float] = {}
-            for job, count in self.scheduler.unmet.get(holding.number, ()):
+            for job, count, shut in self.scheduler.unmet.get(holding.number, ()):
                 spec = job.spec
-                key = (tuple(job.size), spec.rank, spec.spot, spec.types, spec.zone)
+                key = (tuple(job.size), spec.rank, spec.spot, spec.types, spec.zone, shut)
                 needs[key] = needs.get(key, 0) + count
                 ages[key] = max(ages.get(key, 0.0), now - job.submitted)
             machines = {}
@@ -181,6 +182,7 @@
                 "t": "load", "share": holding.number, "used": used, "machines": machines,
                 "needs": [{"size": list(k[0]), "rank": k[1], "spot": k[2],
                            "types": list(k[3]) if k[3] is not None else None, "zone": k[4],
+                           "shut": list(k[5]),
                            "n": n, "age": ages[k]} for k, n in needs.items()],
             }
             if self.leading:
@@ -410,6 +412,7 @@
         return (
             (need.types is None or type_ in need.types)
             and (need.zone is None or zone == need.zone)
+            and zone not in need.shut
             and (need.spot or not spot)
         )
 
@@ -446,12 +449,15 @@
         pause = min(60.0, max(least, self._refused.get(key, (0.0, self.cx.now))[0] * 2))
         self._refused[key] = (pause, Instant(self.cx.now + pause))
 
-    def _options(self, need: Need) -> list[tuple[float, MachineType, str, bool]]:
+    def _options(self, share: ShareNo, need: Need) -> list[tuple[float, MachineType, str, bool]]:
         now = self.cx.now
         options = []
         counts: dict[tuple[str, bool], int] = {}
         for record in self.fleet.records.values():
-            counts[(record.zone, record.spot)] = counts.get((record.zone, record.spot), 0) + 1
+            # Zones evenly, above all within the share: its replicas want to be apart.
+            weight = 10 if record.share == share else 1
+            counts[(record.zone, record.spot)] = (
+                counts.get((record.zone, record.spot), 0) + weight)
         zones_known = self.cx.platform.settings.zones
         for type_ in self.fleet.types.values():
             n = fits_times(need.size, type_.size)
@@ -468,7 +474,7 @@
                         continue
                     price = type_.spot_price if spot else type_.price
                     useful = min(n, need.count)
-                    cost = price / useful + 1e-3 * counts.get((zone, spot), 0)
+                    cost = price / useful + 1e-4 * counts.get((zone, spot), 0)
                     options.append((cost, type_, zone, spot))
         options.sort(key=lambda o: (o[0], o[1].name, o[2], o[3]))
         return options
@@ -476,12 +482,14 @@
     def _hire_for(self, share: ShareNo, need: Need) -> None:
         if len(self._pending_hires) >= 4:
             return
-        options = self._options(need)
+        options = self._options(share, need)
         if not options:
             return
         _, type_, zone, spot = options[0]
         each = fits_times(need.size, type_.size)
         number = min(MAX_HIRE, math.ceil(need.count / each), 4)
+        if not spot and len(options) > 1:
+            number = min(number, 1)  # one a zone in turn
         need.count -= number * each
         self._hire(type_, zone, spot, number, share)
 
--- a/runcourse/core/scheduler.py
+++ b/runcourse/core/scheduler.py
@@ -52,7 +52,8 @@
         self.quota = quota
         self.fleet: Fleet  # set by the node, which builds the two for each other
         self.work: dict[JobId, Work] = {}
-        self.unmet: dict[ShareNo, list[tuple[Job, int]]] = {}
+        # Per share: the job, how many of its tasks found no machine, and the zones closed to them.
+        self.unmet: dict[ShareNo, list[tuple[Job, int, tuple[str, ...]]]] = {}
         self._lateness: dict[str, tuple[float, ...]] = {}
         for aim in cx.platform.settings.objectives:
             if aim.kind == "deadline" and aim.job_class is not None:
@@ -241,7 +242,7 @@
         machines = [m for m in self.fleet.of_share(holding.number) if self.fleet.usable(m)]
         budget = self.cx.operators.turn_budget
         claimed: set[MachineId] = set()
-        unmet: list[tuple[Job, int]] = []
+        unmet: list[tuple[Job, int, tuple[str, ...]]] = []
         for work in waiting:
             pool = machines
             if budget <= 0 and len(machines) > self.cx.operators.sample:
@@ -250,7 +251,8 @@
             budget -= len(pool)
             missing = self._fill(work, pool, claimed, unlocated)
             if missing:
-                unmet.append((work.job, missing))
+                closed = tuple(z for z in sorted(work.zones) if not self._zone_open(work, z))
+                unmet.append((work.job, missing, closed))
         self.unmet[holding.number] = unmet
 
     def _urgency(self, work: Work) -> tuple[bool, int, int, float, str]:
