--- a/runcourse/core/rental.py
+++ b/runcourse/core/rental.py
@@ -28,7 +28,7 @@
 )
 
 LOAD_EVERY_S = 0.25
-PLAN_EVERY_S = 0.25
+PLAN_EVERY_S = 0.5
 CATALOG_EVERY_S = 30.0
 REPORT_PATIENCE_S = 4.0  # how long a worker waits for the answer to a report
 MAX_HIRE = 50
@@ -435,7 +435,7 @@
                         seconds, id, record = entry
                         type_ = self.fleet.types[record.type]
                         n = fits_times(need.size, type_.size)
-                        if need.count <= 0 or seconds < 0.2:
+                        if need.count <= 0 or seconds < 1.0:
                             break
                         if n and self._serves(need, record.type, record.zone, record.spot):
                             need.count -= n
