--- /dev/null
+++ b/tests/test_failures.py
@@ -0,0 +1,232 @@
+"""One test for each failure found on the bench. What it guards against is said at the code."""
+
+from typing import Any
+
+from world import MEMBERS, TYPE, World, platform, spec
+
+from runcourse.core.context import Context
+from runcourse.core.ids import Instant, ShareNo
+from runcourse.core.jobs import Job
+from runcourse.core.machines import Machine, Placement, Record
+from runcourse.core.placement import Size
+from runcourse.core.quota import Quota
+from runcourse.core.scheduler import Scheduler, Work
+from runcourse.core.shares import Holding
+
+
+def ready(**settings: Any) -> World:
+    world = World(**settings)
+    world.run(4.0)
+    return world
+
+
+def bare_machine(id: str = "i-1") -> Machine:
+    record = Record(ShareNo(0), "m4", "a", False, False, 5)  # type: ignore[arg-type]
+    machine = Machine(id, record, Holding(ShareNo(0), 1, Instant(0.0)),  # type: ignore[arg-type]
+                      Instant(0.0))
+    machine.type = TYPE
+    return machine
+
+
+def context() -> Context:
+    import random
+
+    from runcourse.config import Operators
+
+    return Context(platform("n0"), Operators(), random.Random(1))
+
+
+def test_a_machine_that_comes_up_empty_wakes_the_scheduler() -> None:
+    world = World(machines=0)
+    world.capacity = 3
+    world.run(3.0)
+    world.submit(spec("j-000001", tasks=2))
+    world.until(lambda: world.poll("j-000001") == "done", 25)
+
+
+def test_moved_machines_are_not_taken_for_late_boots() -> None:
+    """They were returned at once, since their new owner had never heard them."""
+    world = ready(machines=6)
+    before = set(world.workers)
+    world.run(30.0)  # far beyond any boot
+    for n in range(4):
+        world.submit(spec(f"j-00000{n}", tasks=6, team=f"team-{n}", estimate_s=4.0))
+        world.run(1.0)
+    assert before & set(world.workers) == set(world.workers) & before
+    world.run(6.0)
+    assert before <= set(world.workers), "a machine in use was returned"
+
+
+def test_a_restarted_owner_does_not_return_the_machines_it_has_not_heard_yet() -> None:
+    world = ready(machines=5)
+    for n in range(3):
+        world.submit(spec(f"j-00001{n}", service=True, tasks=1, team=f"team-{n}"))
+    world.run(25.0)
+    held = {worker.id for _, worker in world.on_machines()}
+    for member in MEMBERS:
+        world.crash(member)
+        world.start(member)
+    world.run(3.0)
+    assert held <= set(world.workers)
+
+
+def test_a_guarantee_stops_no_higher_rank_and_no_replica_for_an_array() -> None:
+    quota = Quota(context())
+    array = Job(spec("j-000001", rank=1, team="team-1"), 1)  # type: ignore[arg-type]
+    replica = Job(spec("j-000002", rank=0, service=True), 1)  # type: ignore[arg-type]
+    equal = Job(spec("j-000003", rank=1, service=True), 1)  # type: ignore[arg-type]
+    lesser = Job(spec("j-000004", rank=2), 1)  # type: ignore[arg-type]
+    machine = bare_machine()
+
+    def held(job: Job, n: int = 0) -> Placement:
+        placement = Placement((job.uid, n), 1, machine, job, Instant(0.0))  # type: ignore[arg-type]
+        quota.add(placement)
+        return placement
+
+    victims = [held(replica, 0), held(replica, 1), held(replica, 2)]
+    assert not any(quota.may_stop(array, True, v) for v in victims)
+    assert not quota.may_stop(array, True, held(equal))
+    assert quota.may_stop(array, False, held(lesser))
+
+
+def test_borrowed_room_is_given_back_but_no_team_falls_below_its_guarantee() -> None:
+    quota = Quota(context())  # a guarantee of 4 CPUs each
+    waiting = Job(spec("j-000001", rank=1, team="team-1"), 1)  # type: ignore[arg-type]
+    other = Job(spec("j-000002", rank=1, team="team-0", tasks=3), 1)  # type: ignore[arg-type]
+    machine = bare_machine()
+    placements = [Placement((other.uid, n), 1, machine, other,  # type: ignore[arg-type]
+                            Instant(0.0)) for n in range(3)]
+    for placement in placements:
+        quota.add(placement)  # 6 CPUs
+    assert quota.may_stop(waiting, True, placements[0])
+    assert not quota.may_stop(waiting, False, placements[0])
+    assert not quota.may_stop(waiting, True, placements[1], stopping=Size(2, 4)), (
+        "with 2 CPUs being stopped already the team is down to its guarantee")
+    assert quota.guaranteed_count(waiting) == 2
+
+
+def test_two_teams_do_not_stop_each_other_in_turn() -> None:
+    world = ready(machines=2, cpus_max=100.0)
+    for n in range(2):
+        world.submit(spec(f"j-00002{n}", tasks=6, team=f"team-{n}", estimate_s=30.0))
+    world.run(25.0)
+    assert len(world.starts) <= 12, f"{len(world.starts)} starts of 12 tasks"
+
+
+def test_fetches_under_way_share_the_rate() -> None:
+    """A replica once waited 113 s on a machine that fetched nine images."""
+    cx = context()
+    machine = bare_machine()
+    scheduler = Scheduler.__new__(Scheduler)
+    scheduler.cx = cx
+    job = Job(spec("j-000001", image="one", image_gb=1.0), 1)  # type: ignore[arg-type]
+    other = Job(spec("j-000002", image="two", image_gb=3.0), 1)  # type: ignore[arg-type]
+    assert scheduler._fetch_s(job, machine) == 1.0
+    placement = Placement((other.uid, 0), 1, machine, other, Instant(0.0))  # type: ignore[arg-type]
+    machine.placements[(placement.task, placement.attempt)] = placement
+    assert scheduler._fetch_s(job, machine) == 4.0
+    machine.images["two"] = 3.0
+    assert scheduler._fetch_s(job, machine) == 1.0
+    machine.images["one"] = 1.0
+    assert scheduler._fetch_s(job, machine) == 0.0
+
+
+def test_a_job_that_will_be_late_anyway_goes_last_unless_begun() -> None:
+    from runcourse.config import Objective
+
+    world = ready()
+    node = world.nodes["n0"]
+    assert node is not None
+    scheduler = node.scheduler
+    scheduler._lateness["x"] = (Objective("deadline", "x", 0.9, 1.0).times or 1.0, 1.5)
+    now = node.cx.now
+
+    def work(uid: str, due: float) -> Work:
+        job = Job(spec(uid, deadline_s=due, estimate_s=10.0, team="team-0"), 1)  # type: ignore[arg-type]
+        job.submitted = now
+        return Work(job, ShareNo(0))
+
+    late, later, fine = work("j-000001", 5.0), work("j-000002", 8.0), work("j-000003", 60.0)
+    order = sorted([late, later, fine], key=scheduler._urgency)
+    assert [w.job.uid for w in order] == ["j-000003", "j-000002", "j-000001"]
+    late.finished = 1
+    assert min([late, later, fine], key=scheduler._urgency) is late
+
+
+def test_workers_that_their_owner_does_not_hear_are_relayed() -> None:
+    """In a partition a worker lost its lease while it tried its owner twice."""
+    world = ready(machines=3, lease_s=12.0)
+    for n in range(3):
+        world.submit(spec(f"j-00003{n}", service=True, tasks=1, team=f"team-{n}"))
+    world.until(lambda: len(world.on_machines()) == 3, 10)
+    world.run(2.0)
+    starts = len(world.starts)
+    for worker in world.workers.values():
+        node = next(n for n in world.nodes.values() if n is not None)
+        record = node.fleet.records[worker.id]  # type: ignore[index]
+        owner = node.shares.living_owner(record.share)
+        world.cut.add(frozenset((worker.id, str(owner))))
+    world.run(20.0)
+    assert len(world.on_machines()) == 3 and len(world.starts) == starts
+    assert not world.broken
+
+
+def test_surplus_machines_are_emptied_and_returned() -> None:
+    world = World(machines=6, cpus_max=100.0)
+    world.run(4.0)
+    for n in range(8):
+        world.submit(spec(f"j-00004{n}", service=True, tasks=1, cpus=1.0, memory=1.0))
+    world.run(10.0)
+    for n in range(6):
+        world.withdraw(f"j-00004{n}")
+    world.run(120.0)
+    assert len(world.workers) <= 3
+    assert len(world.on_machines()) == 2 and not world.broken
+
+
+def test_spread_gets_a_machine_in_another_zone() -> None:
+    world = World(machines=1)
+    world.run(4.0)
+    world.capacity = 4
+    world.submit(spec("j-000050", service=True, spread=True, tasks=2))
+    world.until(lambda: len(world.on_machines()) == 2, 25)
+    assert len({worker.zone for _, worker in world.on_machines()}) == 2
+    assert not world.broken
+
+
+def test_an_attempt_is_not_cleared_while_an_order_of_unknown_fate_is_out() -> None:
+    """After `clear` a worker starts a repeated order anew."""
+    world = ready()
+    world.submit(spec("j-000060", tasks=1, estimate_s=0.5))
+    world.until(lambda: world.poll("j-000060") == "done", 10)
+    node = next(n for n in world.nodes.values() if n is not None and n.fleet.machines)
+    machine = next(iter(node.fleet.machines.values()))
+    job = Job(spec("j-000061"), 1)  # type: ignore[arg-type]
+    placement = Placement((job.uid, 0), 1, machine, job, Instant(0.0))  # type: ignore[arg-type]
+    placement.stage, placement.cause, placement.seen = "ended", "stopped", True
+    machine.placements[(placement.task, placement.attempt)] = placement
+
+    def cleared() -> bool:
+        return any(o.op == "forget" for o in node.fleet.orders(machine, answering=True))
+
+    assert cleared()
+    assert not any(o.op == "forget" for o in node.fleet.orders(machine, answering=False))
+    machine.do_open = True
+    assert not cleared()
+    machine.do_open = False
+    machine.unknown = machine.raise_fence()
+    assert not cleared()
+
+
+def test_a_start_not_seen_yet_is_fenced_when_it_is_stopped() -> None:
+    world = ready()
+    node = next(n for n in world.nodes.values() if n is not None and n.fleet.machines)
+    machine = next(iter(node.fleet.machines.values()))
+    world.specs["j-000070"] = spec("j-000070")
+    job = Job(spec("j-000070"), 1)  # type: ignore[arg-type]
+    before = machine.token
+    placement = node.fleet.place(job, 0, machine, machine.share.next_attempt())
+    node.fleet.stop(placement)
+    assert placement.fence > before, "a start under way would run under the old token"
+    assert not node.fleet.orders(machine, answering=True)
+    assert placement.task in node.fleet.where, "possibly there until the new token is seen"
--- a/tests/world.py
+++ b/tests/world.py
@@ -37,7 +37,7 @@
 
 
 def platform(member: str, cpus_max: float = 16.0, members: tuple[str, ...] = MEMBERS,
-             objectives: tuple[Any, ...] = ()) -> Platform:
+             objectives: tuple[Any, ...] = (), lease_s: float = LEASE_S) -> Platform:
     return Platform(
         member=member, area="a", api_addr="127.0.0.1:1", internal_addr="127.0.0.1:2",
         services=Services("127.0.0.1:3", "127.0.0.1:4"),
@@ -45,7 +45,7 @@
         settings=Deployment(
             nodes=len(members), zones=ZONES, objectives=objectives,
             teams=tuple(TeamSettings(f"team-{i}", 4.0, cpus_max) for i in range(4)),
-            workers=WorkerSettings(REPORT_S, LEASE_S, CANCEL_S),
+            workers=WorkerSettings(REPORT_S, lease_s, CANCEL_S),
             state=StateSettings(rps=400.0, write_rps=200.0), cloud=CloudSettings(10.0, 2.0)))
 
 
@@ -142,8 +142,12 @@
         self.sick = False
         self.node = world.rng.choice(MEMBERS)
         self.asking = 0
+        self.waiting = False  # one report is in flight at a time
         world.after(0.1, self.beat)
 
+    def next_node(self) -> None:
+        self.node = MEMBERS[(MEMBERS.index(self.node) + 1) % len(MEMBERS)]
+
     def report(self) -> t.Report:
         self.seq += 1
         return t.Report(self.id, f"{self.id}:1", "m4", self.zone, self.spot, self.session,  # type: ignore[arg-type]
@@ -156,7 +160,7 @@
         if not self.alive or self.hung:
             return
         now = self.world.now
-        if now - self.renewed > LEASE_S:
+        if now - self.renewed > self.world.settings.get("lease_s", LEASE_S):
             self.tasks.clear()
             self.session += 1
             self.seq = 0
@@ -176,9 +180,10 @@
         if not self.alive:
             return
         self.world.after(REPORT_S * self.world.rng.uniform(0.75, 1.25), self.beat)
-        if self.hung:
+        if self.hung or self.waiting:
             return
         self.step()
+        self.waiting = True
         sent = self.world.now
         session = self.session
         self.asking += 1
@@ -189,6 +194,7 @@
                 return
             self.step()
             self.asking += 1
+            self.waiting = False
             if answer is not None and answer.status == 200:
                 if answer.token >= self.token and self.session == session:
                     self.token = answer.token
@@ -197,12 +203,13 @@
             elif answer is not None and answer.owner:
                 self.node = answer.owner
             else:
-                self.node = self.world.rng.choice(MEMBERS)
+                self.next_node()
 
         def gave_up() -> None:
             if self.asking == asked:
                 self.asking += 1
-                self.node = self.world.rng.choice(MEMBERS)
+                self.waiting = False
+                self.next_node()
 
         self.world.ask(self.id, self.node, t.Beat(0, self.report()), answered)
         self.world.after(4.0, gave_up)
