--- a/runcourse/cli.py
+++ b/runcourse/cli.py
@@ -32,6 +32,10 @@
                              help="a controller's api_addr")
         command.add_argument("what", help="a JSON file, or - for standard input"
                              if name == "submit" else "the job's id")
+    command = commands.add_parser("inspect", help="print a controller's view: shares, owners,"
+                                  " machines, waiting work and why it waits")
+    command.add_argument("--internal", required=True, metavar="HOST:PORT",
+                         help="a controller's internal_addr")
     return parser
 
 
@@ -56,8 +60,10 @@
     except SettingsError as problem:
         print(f"runcourse: {problem}", file=sys.stderr)
         return EXIT_USAGE
-    from .client import run_client
+    from .client import run_client, run_inspect
 
+    if args.command == "inspect":
+        return run_inspect(args.internal)
     return run_client(args.command, args.api, args.what)
 
 
--- a/runcourse/client.py
+++ b/runcourse/client.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+import socket
 import sys
 from pathlib import Path
 from typing import Any
@@ -51,6 +52,27 @@
     return "GET", f"/v1/jobs/{what}", None
 
 
+def read_status(host: str, port: int) -> dict[str, Any]:
+    """Ask a controller's internal address for its view; one JSON line each way."""
+    with socket.create_connection((host, port), timeout=5.0) as link:
+        link.sendall(b'{"ask":"status"}\n')
+        with link.makefile("rb") as answer:
+            return msgspec.json.decode(answer.readline(), type=dict[str, Any])
+
+
+def run_inspect(internal: str) -> int:
+    try:
+        status = read_status(*address(internal, "--internal"))
+    except SettingsError as problem:
+        print(f"runcourse: {problem}", file=sys.stderr)
+        return EXIT_USAGE
+    except (OSError, msgspec.DecodeError) as problem:
+        print(f"runcourse: no answer: {problem}", file=sys.stderr)
+        return EXIT_UNREACHABLE
+    print(json.dumps(status, indent=1))
+    return 0
+
+
 async def _send(host: str, port: int, method: str, target: str, body: Any) -> tuple[int, bytes]:
     client = Client(host, port, limit=1, connect_s=3.0)
     try:
--- /dev/null
+++ b/runcourse/core/status.py
@@ -0,0 +1,42 @@
+"""What operators may ask of a controller: its view of shares, machines and waiting work."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from .ids import LONG_AGO
+from .node import Node
+
+MAX_LISTED = 200
+
+
+def status_of(node: Node) -> dict[str, Any]:
+    now = node.cx.now
+    shares = []
+    for number in node.shares.all():
+        owner = node.shares.owner(number)
+        holding = node.shares.mine.get(number)
+        shares.append({
+            "share": number, "home": node.cx.home(number), "owner": owner[0] if owner else None,
+            "alive": node.shares.living_owner(number) is not None,
+            "epoch": node.store.stamp(node.shares.key(number)),
+            "settled": holding.settled if holding else None,
+        })
+    machines = [
+        {"machine": m.id, "share": m.share.number, "type": m.record.type, "zone": m.record.zone,
+         "spot": m.record.spot, "tasks": sum(1 for p in m.placements.values() if p.active),
+         "cpus": m.used.cpus, "usable": node.fleet.usable(m), "leaving": m.record.leaving,
+         "heard_s": round(now - m.heard, 1) if m.heard > LONG_AGO else None}
+        for m in list(node.fleet.machines.values())[:MAX_LISTED]
+    ]
+    waiting = [
+        {"job": work.job.uid, "team": work.job.spec.team, "tasks": len(work.pending),
+         "for_s": round(now - work.job.submitted, 1), "why": work.waits or "its turn"}
+        for work in list(node.scheduler.work.values()) if work.pending
+    ][:MAX_LISTED]
+    return {
+        "member": node.cx.me, "entitled": node.authority.entitled(),
+        "contact_s": round(now - node.store.last_contact, 2) if node.store.ready else None,
+        "leader": node.rental.leader(), "leading": node.rental.leading,
+        "shares": shares, "machines": machines, "waiting": waiting,
+    }
--- a/runcourse/daemon.py
+++ b/runcourse/daemon.py
@@ -13,6 +13,7 @@
 from .core import types as t
 from .core.ids import Instant, Member
 from .core.node import Node
+from .core.status import status_of
 from .core.store import ROOT
 from .net.clients import Cloud, Result, StateService, Workers
 from .net.http import Reply, Server
@@ -40,7 +41,8 @@
                             platform.settings.cloud.rps)
         self._workers = Workers()
         peers = {Member(p.member): address(p.addr, "peers") for p in platform.peers}
-        self._links = PeerLinks(Member(platform.member), peers, self._heard, self._operators_ask)
+        self._links = PeerLinks(Member(platform.member), peers, self._heard, self._operators_ask,
+                                Server(self._serve_internal, 8))
         limit = max(16, int(platform.settings.quota.fd_limit * 0.7))
         self._server = Server(self._serve, limit)
         self._requests = 0
@@ -114,6 +116,7 @@
             self._feed(t.Outcome(tag, status, body, sent, began))
 
         task = asyncio.create_task(go())
+        task.add_done_callback(lambda _: work.close())  # if it never began
         self._tasks.add(task)
         task.add_done_callback(self._ended)
 
@@ -126,8 +129,27 @@
         self._feed(t.PeerSaid(member, message))
 
     def _operators_ask(self, question: dict[str, Any]) -> dict[str, Any]:
+        if question.get("ask") == "status":
+            return status_of(self.node)
         return {"error": "unknown question"}
 
+    async def _serve_internal(self, method: str, target: str, body: bytes) -> Reply:
+        """Plain HTTP on the internal address: the metrics."""
+        if target.partition("?")[0] != "/metrics":
+            return Reply(404)
+        if method != "GET":
+            return Reply(405)
+        # Not imported before somebody asks: a start must be quick.
+        from .net.metrics import render
+
+        content, content_type = render(self.node, self._server.open, self.malformed())
+        return Reply(200, content, content_type=content_type)
+
+    def malformed(self) -> int:
+        """Requests and answers that were not what the protocol says."""
+        parties = (self._state, self._cloud, self._workers)
+        return sum(self._malformed.values()) + sum(sum(p.malformed.values()) for p in parties)
+
     # --- requests ------------------------------------------------------------------------
 
     async def _ask(self, event: Any, timeout_s: float) -> Any:
--- a/runcourse/net/http.py
+++ b/runcourse/net/http.py
@@ -43,6 +43,11 @@
         self._open = 0
         self._server: asyncio.Server | None = None
 
+    @property
+    def open(self) -> int:
+        """Connections open now."""
+        return self._open
+
     async def start(self, host: str, port: int) -> None:
         self._server = await asyncio.start_server(self._serve, host, port, backlog=256)
 
@@ -56,20 +61,28 @@
             self._server.close()
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await self.serve(reader, writer)
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter,
+                    begun: bytes = b"") -> None:
+        """Serve one connection, of which `begun` was read already."""
         if self._open >= self._max:
             writer.transport.abort()
             return
         self._open += 1
         try:
-            await self._converse(reader, writer)
+            await self._converse(reader, writer, begun)
         except (TimeoutError, OSError, h11.LocalProtocolError):
             pass
         finally:
             self._open -= 1
             writer.transport.abort() if writer.transport.is_closing() else writer.close()
 
-    async def _converse(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    async def _converse(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter,
+                        begun: bytes) -> None:
         conn = h11.Connection(h11.SERVER, max_incomplete_event_size=16 * 1024)
+        if begun:
+            conn.receive_data(begun)
         while True:
             try:
                 request, body = await self._request(conn, reader)
--- /dev/null
+++ b/runcourse/net/metrics.py
@@ -0,0 +1,59 @@
+"""Metrics in the Prometheus text form, with prometheus_client. Nothing is kept between scrapes."""
+
+from __future__ import annotations
+
+import resource
+from collections.abc import Iterable
+
+from prometheus_client import CollectorRegistry
+from prometheus_client.exposition import CONTENT_TYPE_PLAIN_0_0_4, generate_latest
+from prometheus_client.metrics_core import GaugeMetricFamily, Metric
+from prometheus_client.registry import Collector
+
+from ..core.node import Node
+
+
+class _Collector(Collector):
+    def __init__(self, node: Node, connections: int, malformed: int) -> None:
+        self.node = node
+        self.connections = connections
+        self.malformed = malformed
+
+    def collect(self) -> Iterable[Metric]:
+        node = self.node
+        plain = [
+            ("runcourse_entitled", "1 while this controller may act", node.authority.entitled()),
+            ("runcourse_leading", "1 on the leader", node.rental.leading),
+            ("runcourse_contact_age_seconds", "since the state service answered",
+             node.cx.now - node.store.last_contact if node.store.ready else -1),
+            ("runcourse_shares_owned", "shares owned here", len(node.shares.mine)),
+            ("runcourse_shares_unsettled", "owned shares whose tasks are not all located",
+             sum(not h.settled for h in node.shares.mine.values())),
+            ("runcourse_tasks_waiting", "tasks of owned shares that wait",
+             sum(len(w.pending) for w in node.scheduler.work.values())),
+            ("runcourse_write_backlog_seconds", "changes waiting for the write budget",
+             node.store.backlog),
+            ("runcourse_connections", "open connections on the API address", self.connections),
+            ("runcourse_malformed", "malformed requests and answers", self.malformed),
+            ("runcourse_memory_bytes", "largest resident size so far",
+             resource.getrusage(resource.RUSAGE_SELF).ru_maxrss * 1024),
+        ]
+        for name, text, value in plain:
+            yield GaugeMetricFamily(name, text, value=float(value))
+        jobs = GaugeMetricFamily("runcourse_jobs", "jobs known", labels=["stage"])
+        open_jobs = sum(1 for _ in node.jobs.open_jobs())
+        jobs.add_metric(["open"], open_jobs)
+        jobs.add_metric(["ended"], len(node.jobs) - open_jobs)
+        yield jobs
+        machines = GaugeMetricFamily("runcourse_machines", "machines of owned shares",
+                                     labels=["state"])
+        usable = sum(node.fleet.usable(m) for m in node.fleet.machines.values())
+        machines.add_metric(["usable"], usable)
+        machines.add_metric(["other"], len(node.fleet.machines) - usable)
+        yield machines
+
+
+def render(node: Node, connections: int, malformed: int) -> tuple[bytes, str]:
+    registry = CollectorRegistry()
+    registry.register(_Collector(node, connections, malformed))
+    return generate_latest(registry), CONTENT_TYPE_PLAIN_0_0_4
--- a/runcourse/net/peers.py
+++ b/runcourse/net/peers.py
@@ -12,6 +12,7 @@
 import msgspec
 
 from ..core.ids import Member
+from .http import Server
 
 log = logging.getLogger("runcourse.peers")
 
@@ -77,13 +78,14 @@
 class PeerLinks:
     def __init__(self, me: Member, peers: dict[Member, tuple[str, int]],
                  heard: Callable[[Member, dict[str, Any]], None],
-                 operators_ask: Callable[[dict[str, Any]], dict[str, Any]]) -> None:
+                 operators_ask: Callable[[dict[str, Any]], dict[str, Any]],
+                 http: Server) -> None:
         self._out = {m: _Outbound(me, *addr) for m, addr in peers.items()}
         self._heard = heard
         self._operators_ask = operators_ask
+        self._http = http
         self._server: asyncio.Server | None = None
         self._tasks: list[asyncio.Task[None]] = []
-        self._complained: set[Member] = set()
 
     async def start(self, host: str, port: int) -> None:
         self._server = await asyncio.start_server(self._serve, host, port, limit=LINE_LIMIT)
@@ -103,7 +105,11 @@
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         try:
             async with asyncio.timeout(5):
-                first = _decoder.decode(await reader.readline())
+                begun = await reader.readline()
+            if begun.startswith(b"GET "):
+                await self._http.serve(reader, writer, begun)
+                return
+            first = _decoder.decode(begun)
             if isinstance(first, dict) and first.get("ask"):
                 writer.write(_encoder.encode(self._operators_ask(first)) + b"\n")
                 await writer.drain()
