--- a/runcourse/core/scheduler.py
+++ b/runcourse/core/scheduler.py
@@ -86,8 +86,11 @@
 
     def _open(self, job: Job, share: ShareNo) -> None:
         work = Work(job, share)
-        work.pending = [i for i in range(job.spec.tasks - 1, -1, -1)
-                        if not job.is_done(i) and TaskId(job.uid, i) not in self.fleet.where]
+        placed = {p.task.number for p in self.fleet.of_job(job.uid)}
+        # As digits once: shifting a large bitmap for each of 100,000 tasks takes seconds.
+        done = f"{job.done_bits:b}".rjust(job.spec.tasks, "0")
+        work.pending = [job.spec.tasks - 1 - n for n, bit in enumerate(done)
+                        if bit == "0" and job.spec.tasks - 1 - n not in placed]
         self.work[job.uid] = work
         self._dirty = True
 
