--- /dev/null
+++ b/tests/test_guards.py
@@ -0,0 +1,123 @@
+"""Guards that a whole story rarely reaches: each test fails if its guard is taken away."""
+
+from typing import Any
+
+from test_failures import bare_machine, ready
+from world import World, spec
+
+from runcourse.core import types as t
+from runcourse.core.ids import Attempt, Instant, Session, TaskId
+from runcourse.core.jobs import Job, Jobs, job_value
+from runcourse.core.machines import Machine, Placement
+from runcourse.core.node import Node
+
+
+def owner_of_some(world: World) -> tuple[Node, Machine]:
+    node = next(n for n in world.nodes.values() if n is not None and n.fleet.machines)
+    return node, next(iter(node.fleet.machines.values()))
+
+
+def message(machine: Machine, session: int, seq: int, *tasks: t.TaskReport) -> t.Report:
+    return t.Report(machine.id, machine.addr, "m4", machine.record.zone, False, Session(session),
+                    seq, machine.token, None, tasks)
+
+
+def test_an_older_message_changes_nothing() -> None:
+    node, machine = owner_of_some(ready())
+    task = TaskId(spec("j-000001").uid, 0)  # type: ignore[arg-type]
+    running = t.TaskReport(task, Attempt(7), "running")
+    assert node.fleet.hear(message(machine, machine.session, machine.seq + 5, running))
+    assert task in node.fleet.where
+    assert not node.fleet.hear(message(machine, machine.session, machine.seq - 1))
+    assert not node.fleet.hear(message(machine, machine.session - 1, 999))
+    assert task in node.fleet.where
+
+
+def test_an_order_of_unknown_fate_raises_the_token() -> None:
+    node, machine = owner_of_some(ready())
+    job = Job(spec("j-000002"), 1)  # type: ignore[arg-type]
+    node.fleet.place(job, 0, machine, machine.share.next_attempt())
+    before = machine.token
+    node.fleet.push()
+    command = next(e for e in node.cx.out if isinstance(e, t.Command))
+    node.handle(node.cx.now, t.Outcome(command.tag, 0, None, sent=True))
+    assert machine.token > before and machine.unknown == machine.token
+    surely_lost = machine.token
+    machine.do_after = node.cx.now
+    node.fleet._dirty[machine.id] = None
+    node.fleet.push()
+    command = next(e for e in reversed(node.cx.out) if isinstance(e, t.Command))
+    node.handle(node.cx.now, t.Outcome(command.tag, 0, None, sent=False))
+    assert machine.token == surely_lost, "what never left needs no fence"
+
+
+def test_a_finish_is_cleared_only_once_it_is_stored() -> None:
+    node, machine = owner_of_some(ready())
+    job = node.jobs.apply_job("j-000003", job_value(spec("j-000003"), "accepted"), 9,  # type: ignore[arg-type]
+                              0.0)
+    placement = Placement(TaskId(job.uid, 1), Attempt(1), machine, job, Instant(0.0))
+    placement.stage, placement.cause, placement.seen = "ended", "done", True
+    machine.placements[(placement.task, placement.attempt)] = placement
+    assert not node.fleet.orders(machine, answering=True)
+    job.add_done(0b10)
+    assert [o.op for o in node.fleet.orders(machine, answering=True)] == ["forget"]
+
+
+def test_a_final_stage_stays_whatever_news_arrives() -> None:
+    jobs = Jobs()
+    uid: Any = "j-000004"
+    jobs.apply_job(uid, job_value(spec(uid), "accepted"), 1, 0.0)  # type: ignore[arg-type]
+    jobs.apply_job(uid, job_value(spec(uid), "cancelled"), 2, 0.0)  # type: ignore[arg-type]
+    jobs.apply_job(uid, job_value(spec(uid), "accepted"), 1, 0.0)  # type: ignore[arg-type]
+    assert jobs.get(uid).stage == "cancelled"  # type: ignore[union-attr]
+
+
+def test_only_lendable_work_goes_to_spot_machines() -> None:
+    node, _ = owner_of_some(ready())
+    machine = bare_machine()
+    machine.record = machine.record._replace(spot=True)
+    ordinary = Job(spec("j-000005"), 1)  # type: ignore[arg-type]
+    lendable = Job(spec("j-000006", spot=True), 1)  # type: ignore[arg-type]
+    pinned = Job(spec("j-000007", spot=True, zone="b"), 1)  # type: ignore[arg-type]
+    picky = Job(spec("j-000008", spot=True, types=("x9",)), 1)  # type: ignore[arg-type]
+    assert not node.scheduler._permits(ordinary, machine)
+    assert node.scheduler._permits(lendable, machine)
+    assert not node.scheduler._permits(pinned, machine)
+    assert not node.scheduler._permits(picky, machine)
+
+
+def test_a_node_without_store_and_peers_stops_though_its_workers_reach_it() -> None:
+    """Nobody vouches for it, and another may have taken its shares."""
+    world = ready()
+    for other in ("state", "n1", "n2"):
+        world.cut.add(frozenset(("n0", other)))
+    world.run(6.0)
+    node = world.nodes["n0"]
+    assert node is not None and not node.authority.entitled()
+    answers = []
+    for machine in list(node.fleet.machines.values()):
+        world.ask(machine.id, "n0", t.Beat(0, message(machine, 9, 1)), answers.append)
+    world.run(0.2)
+    assert all(a.status == 503 for a in answers)
+
+
+def test_tasks_that_cannot_be_located_count_against_the_limit() -> None:
+    world = World(machines=4, cpus_max=4.0)
+    world.run(4.0)
+    world.submit(spec("j-000009", tasks=2, service=True))
+    world.until(lambda: len(world.on_machines()) == 2, 10)
+    node = next(n for n in world.nodes.values()
+                if n is not None and n.scheduler.work)
+    holding = next(h for h in node.shares.mine.values()
+                   if h.number == node.shares.of_team("team-0"))  # type: ignore[arg-type]
+    # As after a takeover: nothing is located yet.
+    holding.settled = False
+    work = next(iter(node.scheduler.work.values()))
+    work.pending = [1, 0]
+    work.job.accepted = holding.epoch
+    later = Job(spec("j-000010", tasks=1), holding.epoch + 1)  # type: ignore[arg-type]
+    lost = node.scheduler._unlocated(holding)["team-0"]  # type: ignore[index]
+    for placement in list(node.fleet.placements(holding.number)):
+        node.quota.remove(placement)
+    assert node.quota.allows(later)
+    assert not node.quota.allows(later, lost)
