--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -10,6 +10,7 @@
 from runcourse.core.jobs import Job, Jobs, job_value
 from runcourse.core.machines import Machine, Placement
 from runcourse.core.node import Node
+from runcourse.core.scheduler import Work
 
 
 def owner_of_some(world: World) -> tuple[Node, Machine]:
@@ -102,7 +103,7 @@
 
 
 def test_tasks_that_cannot_be_located_count_against_the_limit() -> None:
-    world = World(machines=4, cpus_max=4.0)
+    world = World(machines=9, cpus_max=4.0)
     world.run(4.0)
     world.submit(spec("j-000009", tasks=2, service=True))
     world.until(lambda: len(world.on_machines()) == 2, 10)
@@ -116,8 +117,14 @@
     work.pending = [1, 0]
     work.job.accepted = holding.epoch
     later = Job(spec("j-000010", tasks=1), holding.epoch + 1)  # type: ignore[arg-type]
-    lost = node.scheduler._unlocated(holding)["team-0"]  # type: ignore[index]
     for placement in list(node.fleet.placements(holding.number)):
         node.quota.remove(placement)
-    assert node.quota.allows(later)
-    assert not node.quota.allows(later, lost)
+    assert node.quota.allows(later), "what is seen alone would leave room"
+    node.scheduler.work[later.uid] = Work(later, holding.number)
+    node.scheduler.work[later.uid].pending = [0]
+    node.scheduler._turn(holding)
+    assert TaskId(later.uid, 0) not in node.fleet.where
+    holding.settled = True
+    work.pending = []
+    node.scheduler._turn(holding)
+    assert TaskId(later.uid, 0) in node.fleet.where
