--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -103,9 +103,9 @@
 
 
 def test_tasks_that_cannot_be_located_count_against_the_limit() -> None:
-    world = World(machines=9, cpus_max=4.0)
+    world = World(machines=9, cpus_max=2.0)
     world.run(4.0)
-    world.submit(spec("j-000009", tasks=2, service=True))
+    world.submit(spec("j-000009", tasks=2, service=True, cpus=1.0))
     world.until(lambda: len(world.on_machines()) == 2, 10)
     node = next(n for n in world.nodes.values()
                 if n is not None and n.scheduler.work)
@@ -116,7 +116,7 @@
     work = next(iter(node.scheduler.work.values()))
     work.pending = [1, 0]
     work.job.accepted = holding.epoch
-    later = Job(spec("j-000010", tasks=1), holding.epoch + 1)  # type: ignore[arg-type]
+    later = Job(spec("j-000010", tasks=1, cpus=1.0), holding.epoch + 1)  # type: ignore[arg-type]
     for placement in list(node.fleet.placements(holding.number)):
         node.quota.remove(placement)
     assert node.quota.allows(later), "what is seen alone would leave room"
@@ -127,4 +127,6 @@
     holding.settled = True
     work.pending = []
     node.scheduler._turn(holding)
-    assert TaskId(later.uid, 0) in node.fleet.where
+    assert TaskId(later.uid, 0) in node.fleet.where, [
+        (m.id, m.room, node.fleet.usable(m), node.scheduler.work[later.uid].waits)
+        for m in node.fleet.of_share(holding.number)]
