--- a/runcourse/core/authority.py
+++ b/runcourse/core/authority.py
@@ -200,7 +200,8 @@
         """A peer without contact asks whether this node has none either."""
         now = self.cx.now
         inc = Incarnation(str(message["inc"]))
-        recently = self.store.last_contact > now - 1.0 and not self.store.failing
+        # One failure amid successes is no outage: such a node must not keep another going.
+        recently = self.store.last_contact > now - 1.0
         ok = (
             self.store.failing
             and not recently
--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -130,3 +130,19 @@
     assert TaskId(later.uid, 0) in node.fleet.where, [
         (m.id, m.room, node.fleet.usable(m), node.scheduler.work[later.uid].waits)
         for m in node.fleet.of_share(holding.number)]
+
+
+def test_one_failure_amid_successes_is_no_reason_to_vouch() -> None:
+    node = owner_of_some(ready())[0]
+    other = next(m for m in node.cx.members if m != node.cx.me)
+    inc = node.authority.live_inc(other)
+
+    def vouches() -> bool:
+        said = node.handle(node.cx.now, t.PeerSaid(other, {"t": "vouch?", "inc": inc, "n": 1}))
+        return any(isinstance(e, t.Say) and e.message.get("ok") for e in said)
+
+    node.store.failing = True
+    node.store.last_contact = Instant(node.cx.now - 0.5)
+    assert not vouches()
+    node.store.last_contact = Instant(node.cx.now - 1.5)
+    assert vouches()
