--- a/runcourse/core/rental.py
+++ b/runcourse/core/rental.py
@@ -83,7 +83,7 @@
         self._load_at = LONG_AGO
         self._releasing: set[MachineId] = set()
         self._released: set[MachineId] = set()
-        self._adopting: set[MachineId] = set()
+        self._adopting: dict[MachineId, Record] = {}  # being recorded
         self._drop_later: list[MachineId] = []
         self._again: list[Callable[[], None]] = []
         self._again_at = Instant(0.0)
@@ -286,13 +286,13 @@
             return
         if type_ not in self.fleet.types:
             return
-        self._adopting.add(id)
         if share is None:
             share = self._poorest(type_)
         record = Record(share, type_, zone, spot, False, ABSENT)
+        self._adopting[id] = record
 
         def done(result: str, stamp: Stamp) -> None:
-            self._adopting.discard(id)
+            self._adopting.pop(id, None)
 
         self.store.commit([self._guard(), (MACHINE + id, ABSENT)],
                           [(MACHINE + id, record.value(), None)], done, Store.OWNER)
@@ -312,13 +312,15 @@
 
     def _poorest(self, type_: str) -> ShareNo:
         """The share that a machine without one goes to: least for what it wants."""
-        pending = [s for s in self.shares.all()]
-        counts = {s: self._cpus_of(s) for s in pending}
-        for _, share in self._pending_hires.values():
-            counts[share] += 1
-        same = {s: sum(1 for r in self.fleet.records.values()
-                       if r.share == s and r.type == type_) for s in pending}
-        return min(pending, key=lambda s: (counts[s] / self._wanted(s), same[s], s))
+        shares = self.shares.all()
+        counts = {s: self._cpus_of(s) for s in shares}
+        same = dict.fromkeys(shares, 0)
+        # Those on their way into the records count too, or a whole list goes to one share.
+        for record in (*self.fleet.records.values(), *self._adopting.values()):
+            same[record.share] += record.type == type_
+        for record in self._adopting.values():
+            counts[record.share] += self.fleet.types[record.type].cpus
+        return min(shares, key=lambda s: (counts[s] / self._wanted(s), same[s], s))
 
     # --- releasing -----------------------------------------------------------------------
 
--- a/runcourse/core/scheduler.py
+++ b/runcourse/core/scheduler.py
@@ -536,7 +536,35 @@
         for placement in placements:
             self.fleet.stop(placement)
 
+    def _leave(self, machine: Machine) -> None:
+        """A machine under notice: what won't end in time and finds room elsewhere stops now,
+        with time to save, rather than when the machine is taken."""
+        now = self.cx.now
+        left = (machine.notice_until or now) - now
+        others = [m for m in self.fleet.of_share(machine.share.number) if self.fleet.usable(m)]
+        rooms = {m.id: m.room for m in others}
+        for placement in list(machine.placements.values()):
+            job = placement.job
+            if job is None or not placement.active or placement.stopping:
+                continue
+            if not job.spec.service and placement.stage == "running":
+                remaining = job.spec.estimate_s - (now - placement.ran_since)
+                if remaining < left:
+                    continue
+            target = next((m for m in others if self._permits(job, m)
+                           and self._moves_to(placement, m)
+                           and placement.size.fits(rooms[m.id])), None)
+            saving = job.spec.checkpoint_s > 0 and left < job.spec.save_s + 2.0
+            if target is None and not saving:
+                continue
+            if target is not None:
+                rooms[target.id] = rooms[target.id].minus(placement.size)
+            self.fleet.stop(placement, self._grace(placement))
+
     def tick(self) -> None:
+        for machine in self.fleet.machines.values():
+            if machine.notice_until is not None and self.shares.may_command(machine.share.number):
+                self._leave(machine)
         for machine in list(self._draining):
             if (self.cx.now >= machine.draining_until
                     or self.fleet.machines.get(machine.id) is not machine):
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -230,3 +230,28 @@
     assert placement.fence > before, "a start under way would run under the old token"
     assert not node.fleet.orders(machine, answering=True)
     assert placement.task in node.fleet.where, "possibly there until the new token is seen"
+
+
+def test_a_notice_moves_what_will_not_end_in_time() -> None:
+    world = ready(machines=9)
+    world.submit(spec("j-000080", tasks=1, estimate_s=30.0))
+    world.submit(spec("j-000081", tasks=1, estimate_s=2.5))
+    world.until(lambda: len(world.on_machines()) == 2, 10)
+    for worker in world.workers.values():
+        if any(task.job in ("j-000080", "j-000081") for task, w in world.on_machines()
+               if w is worker):
+            worker.notice_s = 8.0
+    world.run(2.0)
+    where = {task.job: worker for task, worker in world.on_machines()}
+    assert where["j-000080"].notice_s is None, "moved to a machine that stays"
+    assert len([1 for _, task, _ in world.starts if task.job == "j-000081"]) == 1
+    assert not world.broken
+
+
+def test_machines_found_together_are_parted_among_the_shares() -> None:
+    world = World(machines=9)
+    world.run(2.0)
+    node = world.nodes["n0"]
+    assert node is not None
+    shares = [record.share for record in node.fleet.records.values()]
+    assert sorted(shares.count(s) for s in node.shares.all()) == [3, 3, 3]
--- a/tests/world.py
+++ b/tests/world.py
@@ -140,6 +140,7 @@
         self.alive = True
         self.hung = False
         self.sick = False
+        self.notice_s: float | None = None
         self.node = world.rng.choice(MEMBERS)
         self.asking = 0
         self.waiting = False  # one report is in flight at a time
@@ -151,7 +152,7 @@
     def report(self) -> t.Report:
         self.seq += 1
         return t.Report(self.id, f"{self.id}:1", "m4", self.zone, self.spot, self.session,  # type: ignore[arg-type]
-                        self.seq, self.token, None,  # type: ignore[arg-type]
+                        self.seq, self.token, self.notice_s,  # type: ignore[arg-type]
                         tuple(t.TaskReport(task, attempt, stage, cause)  # type: ignore[arg-type]
                               for (task, attempt), (stage, cause, _) in self.tasks.items()))
 
