--- a/runcourse/core/rental.py
+++ b/runcourse/core/rental.py
@@ -9,7 +9,7 @@
 
 from .authority import Authority
 from .context import Context
-from .ids import ABSENT, LONG_AGO, Instant, MachineId, ShareNo, Stamp
+from .ids import ABSENT, LONG_AGO, Instant, MachineId, ShareNo, Stamp, Team
 from .machines import Fleet, Machine, Record
 from .placement import Size, fits_times
 from .scheduler import Scheduler
@@ -540,12 +540,23 @@
                 if limit is None:
                     # A machine costs its boot again, and a minute at the least.
                     limit = min(max(60.0 - type_.boot_s, 0.5 * type_.boot_s), 45.0)
-                if seconds > limit and capacity - type_.cpus >= keep:
+                if (seconds > limit and capacity - type_.cpus >= keep
+                        and self._free_of(share) - type_.cpus >= self._largest_task(share)):
                     capacity -= type_.cpus
                     self._ask_owner(share, {"t": "retire", "machine": id})
         if now >= self._drain_at and not any(idle.values()):
             self._drain(capacity, keep)
 
+    def _free_of(self, share: ShareNo) -> float:
+        load = self.loads.get(share)
+        return self._cpus_of(share) - (load.used if load else 0.0)
+
+    def _largest_task(self, share: ShareNo) -> float:
+        """Room that a share with open jobs keeps: without it, the next replica within its
+        team's guarantee stops another team's."""
+        return max((job.size.cpus for job in self.fleet.jobs.open_jobs()
+                    if self.shares.of_team(Team(job.spec.team)) == share), default=0.0)
+
     def _drain(self, capacity: float, keep: float) -> None:
         """Nothing is empty, yet there is more than is needed: have a share empty one more."""
         largest = max((t.cpus for t in self.fleet.types.values()), default=0.0)
