--- a/runcourse/core/rental.py
+++ b/runcourse/core/rental.py
@@ -298,11 +298,13 @@
                           [(MACHINE + id, record.value(), None)], done, Store.OWNER)
 
     def _wanted(self, share: ShareNo) -> float:
-        """What a share should hold of the fleet, in CPUs: its waiting and running requests."""
+        """What a share should hold of the fleet, in CPUs: its waiting and running requests,
+        and before there are any, as its teams are many."""
+        teams = sum(1 for team in self.cx.platform.settings.teams
+                    if self.shares.of_team(Team(team.name)) == share)
         load = self.loads.get(share)
-        if load is None:
-            return 1.0
-        return 1.0 + load.used + sum(n.size.cpus * n.count for n in load.needs)
+        waiting = sum(n.size.cpus * n.count for n in load.needs) if load else 0.0
+        return max(teams, 0.5) + (load.used if load else 0.0) + waiting
 
     def _cpus_of(self, share: ShareNo) -> float:
         return sum(
@@ -526,7 +528,8 @@
                     idle: dict[ShareNo, list[tuple[float, MachineId, Record]]]) -> None:
         """Return what stays empty, beyond what was in use at once lately and a spare part."""
         now = self.cx.now
-        demand = sum(self._wanted(s) - 1.0 for s in self.shares.all() if s in self.loads)
+        demand = sum(load.used + sum(n.size.cpus * n.count for n in load.needs)
+                     for load in self.loads.values())
         self._peaks.append((now, demand))
         window = self.cx.operators.peak_window
         while self._peaks and self._peaks[0][0] < now - window:
