--- /dev/null
+++ b/tests/test_store.py
@@ -0,0 +1,109 @@
+"""The state service's less pleasant answers."""
+
+from typing import Any
+
+from test_failures import context, ready
+from world import World, spec
+
+from runcourse.core import types as t
+from runcourse.core.ids import Instant
+from runcourse.core.store import ROOT, Store
+
+
+def store_with(*changes: tuple[str, Any, int], epoch: int = 1) -> Store:
+    store = Store(context())
+    store.sync()
+    answer(store, 200, (list(changes), epoch))
+    return store
+
+
+def answer(store: Store, status: int, body: Any = None, sent: bool = True) -> Any:
+    effect = store.cx.out.pop(0)
+    effect.tag(t.Outcome(effect.tag, status, body, sent, store.cx.now))
+    return effect
+
+
+def later(store: Store, seconds: float) -> None:
+    store.cx.now = Instant(store.cx.now + seconds)
+    store.tick()
+
+
+def test_too_old_a_revision_reads_everything_again_and_notices_what_is_gone() -> None:
+    store = store_with((ROOT + "a", 1, 3), (ROOT + "b", 2, 4), epoch=4)
+    later(store, 1.0)
+    assert isinstance(answer(store, 410), t.Follow)
+    assert not store.ready
+    later(store, 1.0)
+    assert isinstance(answer(store, 200, ([(ROOT + "b", 5, 9)], 9)), t.ReadAll)
+    assert store.get(ROOT + "a") is None and store.get(ROOT + "b") == 5
+
+
+def test_refused_changes_wait_and_reads_go_on() -> None:
+    store = store_with()
+    results: list[str] = []
+    store.commit([], [("k", 1, None)], lambda r, s: results.append(r))
+    answer(store, 429)
+    assert results == ["refused"]
+    store.commit([], [("k", 1, None)], lambda r, s: results.append(r))
+    assert not store.cx.out, "the service asked for a pause"
+    later(store, 0.15)
+    commit = next(e for e in store.cx.out if isinstance(e, t.Commit))
+    store.cx.out = [commit]
+    answer(store, 200, 7)
+    assert results == ["refused", "ok"] and store.get("k") == 1 and store.stamp("k") == 7
+
+
+def test_a_change_of_unknown_fate_is_looked_up() -> None:
+    store = store_with()
+    results: list[str] = []
+    later(store, 1.0)
+    answer(store, 200, ([], 1))
+    store.cx.now = Instant(store.cx.now + 0.1)
+    store.commit([], [("rc/k", 1, None)], lambda r, s: results.append(r))
+    answer(store, 0)
+    assert results == ["unknown"] and store.get("rc/k") is None
+    later(store, 0.2)
+    assert isinstance(answer(store, 200, ([("rc/k", 1, 8)], 8)), t.Follow)
+    assert store.get("rc/k") == 1
+
+
+def test_an_older_read_does_not_undo_a_newer_change() -> None:
+    store = store_with()
+    store.commit([], [("k", "new", None)], lambda r, s: None)
+    answer(store, 200, 9)
+    later(store, 1.0)
+    answer(store, 200, ([("k", "old", 5)], 5))
+    assert store.get("k") == "new"
+
+
+def test_a_lease_that_ended_means_starting_over() -> None:
+    world = ready()
+    world.submit(spec("j-000001", service=True, tasks=1))
+    world.until(lambda: len(world.on_machines()) == 1, 10)
+    node = world.nodes["n0"]
+    assert node is not None
+    before = node.authority.inc
+    world.state.leases.pop(node.authority.grant or 0)
+    for key in [k for k, (_, _, g) in world.state.data.items() if g == node.authority.grant]:
+        world.state.epoch += 1
+        del world.state.data[key]
+        world.state.log.append((key, None, world.state.epoch))
+    world.run(6.0)
+    assert node.authority.live and node.authority.inc != before
+    assert len(world.on_machines()) == 1 and len(world.starts) == 1 and not world.broken
+
+
+def test_lost_answers_of_applied_changes_lose_no_job() -> None:
+    world = World(seed=3)
+    world.run(4.0)
+    world.lose = 0.4
+    told = {f"j-{n:06d}": world.submit(spec(f"j-{n:06d}", tasks=1), f"n{n % 3}")
+            for n in range(8)}
+    world.lose = 0.0
+    world.deliver_held()
+    world.run(20.0)
+    assert any(status in (200, 201) for status in told.values())
+    for uid, status in told.items():
+        if status in (200, 201):
+            world.until(lambda uid=uid: world.poll(uid) == "done", 30)  # type: ignore[misc]
+    assert not world.broken
