--- a/runcourse/core/jobs.py
+++ b/runcourse/core/jobs.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import re
-from collections.abc import Iterable
+from collections.abc import Collection
 from typing import Any
 
 import msgspec
@@ -87,6 +87,7 @@
 
     def __init__(self) -> None:
         self._jobs: dict[JobId, Job] = {}
+        self._open: dict[JobId, Job] = {}
         self._early_pages: dict[JobId, int] = {}
 
     def get(self, uid: JobId) -> Job | None:
@@ -95,8 +96,8 @@
     def __len__(self) -> int:
         return len(self._jobs)
 
-    def open_jobs(self) -> Iterable[Job]:
-        return (j for j in self._jobs.values() if not j.final)
+    def open_jobs(self) -> Collection[Job]:
+        return self._open.values()
 
     def apply_job(self, uid: JobId, value: dict[str, Any], stamp: Stamp, now: float) -> Job:
         job = self._jobs.get(uid)
@@ -108,6 +109,10 @@
         # A job that is done or cancelled stays so, whatever order news arrives in.
         if not job.final:
             job.stage = str(value["stage"])
+            if job.final:
+                self._open.pop(uid, None)
+            else:
+                self._open[uid] = job
         job.accepted = Stamp(int(value.get("accepted", ABSENT)) or job.accepted)
         job.stamp = stamp
         return job
--- a/runcourse/core/machines.py
+++ b/runcourse/core/machines.py
@@ -33,9 +33,19 @@
 from .placement import NOTHING, Size
 from .shares import Holding, Shares
 from .store import CATALOG, MACHINE, Store
-from .types import Command, MachineType, Order, Outcome, Report, TaskReport
+from .types import Command, MachineType, Order, Outcome, Probe, Report, TaskReport
 
 Key = tuple[TaskId, Attempt]
+RUNNING = ("running", "saving")
+REPORT_PATIENCE_S = 4.0  # how long a worker waits for the answer to a report
+RETRY_AFTER_S = 1.0  # and then until it tries the next node
+
+
+class Known(NamedTuple):
+    """What was known of a worker when something was asked of it."""
+
+    number: tuple[int, int]  # session and sequence
+    token: Token
 
 
 class Record(NamedTuple):
@@ -55,8 +65,8 @@
 
 
 class Placement:
-    __slots__ = ("attempt", "cause", "fence", "forced", "grace_s", "job", "machine", "ran_since",
-                 "seen", "since", "size", "stage", "stopping", "task")
+    __slots__ = ("attempt", "cause", "commanded", "fence", "forced", "given", "grace_s", "job",
+                 "machine", "ran_since", "seen", "since", "size", "stage", "stopping", "task")
 
     def __init__(self, task: TaskId, attempt: Attempt, machine: Machine, job: Job | None,
                  now: Instant) -> None:
@@ -68,6 +78,8 @@
         self.stage = "sent"  # sent, fetching, running, saving, ended
         self.cause = ""
         self.seen = False  # some message listed it
+        self.commanded = False  # a command with the order to start it may have left
+        self.given = -1  # number of the answered report whose answer told the worker to start it
         self.stopping = False
         self.grace_s = 0.0
         self.forced = False
@@ -81,11 +93,12 @@
 
 
 class Machine:
-    __slots__ = ("added", "addr", "counter", "do_after", "do_open", "draining_until", "empty_since",
-                 "errors", "expired_session", "full_until", "heard", "id", "images",
-                 "last_answer", "lasting", "moving", "notice_until", "placements",
-                 "quarantined_until", "record", "seq", "session", "settled", "share",
-                 "token_seen", "type", "unknown", "up_since", "used")
+    __slots__ = ("added", "addr", "asked_at", "born", "counter", "do_after", "do_open",
+                 "doubt", "doubted_at", "draining_until", "empty_since", "errors",
+                 "expired_session", "fetches", "full_until", "heard", "id", "images",
+                 "last_answer", "lasting", "moving", "notice_until", "placements", "probing",
+                 "quarantined_until", "reached", "record", "report_number", "room", "seq",
+                 "session", "settled", "share", "token_seen", "type", "up_since", "used")
 
     def __init__(self, id: MachineId, record: Record, holding: Holding, now: Instant) -> None:
         self.id = id
@@ -95,6 +108,11 @@
         self.addr = ""
         self.session = Session(0)
         self.seq = -1
+        self.report_number = (Session(0), -1)  # of the newest report, live answers left out
+        self.born = Token(0)  # reports with a lesser token are of a former life
+        self.asked_at = LONG_AGO  # when its state was last asked for
+        self.probing = False
+        self.reached = LONG_AGO  # when a live answer last came
         self.token_seen = Token(0)
         self.counter = 0
         # A machine recorded after the takeover can't hold tasks of an earlier owner: it was
@@ -107,10 +125,16 @@
         self.notice_until: Instant | None = None
         self.placements: dict[Key, Placement] = {}
         self.used = NOTHING
+        self.room = NOTHING
+        self.fetches: dict[str, float] | None = None  # images under way; None: to be counted
         self.images: OrderedDict[str, float] = OrderedDict()
         self.do_open = False
         self.do_after = now
-        self.unknown = Token(0)  # an order of unknown fate is out until this token is seen
+        # Reachable is more than heard: only a token of ours shown by the worker proves that
+        # answers or commands arrive there. Until it shows this one, nothing new goes there,
+        # and an order of unknown fate may yet be carried out.
+        self.doubt = self.base_token
+        self.doubted_at = now
         self.full_until = now
         self.quarantined_until = now
         self.errors: dict[JobId, Instant] = {}
@@ -129,21 +153,39 @@
         """No earlier owner's token reaches it."""
         return make_token(Stamp(max(self.share.epoch, self.record.stamp)), 0)
 
-    @property
-    def room(self) -> Size:
-        return self.type.size.minus(self.used) if self.type else NOTHING
+    def set_type(self, type_: MachineType | None) -> None:
+        self.type = type_
+        self.use(self.used)
+
+    def use(self, used: Size) -> None:
+        self.used = used
+        self.room = self.type.size.minus(used) if self.type else NOTHING
 
     def raise_fence(self) -> Token:
         self.counter += 1
         return self.token
 
+    @property
+    def known(self) -> Known:
+        return Known((self.session, self.seq), self.token_seen)
+
+    @property
+    def doubted(self) -> bool:
+        """Not shown to be reachable since something spoke against it."""
+        return self.token_seen < self.doubt
+
+    def doubt_reach(self, now: Instant) -> None:
+        if not self.doubted:
+            self.doubted_at = now
+        self.doubt = self.raise_fence()
+
     def holds(self, task: TaskId) -> bool:
         return any(t == task for t, _ in self.placements)
 
     @property
     def busy(self) -> bool:
         """Something is on it, or may be, or may yet come to be."""
-        return bool(self.placements) or self.do_open or bool(self.unknown) or not self.settled
+        return bool(self.placements) or self.do_open or self.doubted or not self.settled
 
 
 class Watcher(Protocol):
@@ -172,6 +214,10 @@
         self.machines: dict[MachineId, Machine] = {}
         self.types: dict[str, MachineType] = {}
         self.where: dict[TaskId, list[Placement]] = {}
+        self.gone: set[MachineId] = set()  # returned or vanished: their ids never come again
+        self._of_share: dict[ShareNo, dict[MachineId, Machine]] = {}
+        self._of_job: dict[JobId, dict[Placement, None]] = {}  # active ones
+        self._running: dict[JobId, int] = {}
         self.addrs: dict[MachineId, str] = {}
         self._dirty: dict[MachineId, None] = {}
         self._given: dict[MachineId, tuple[Instant, dict[str, Any]]] = {}
@@ -183,12 +229,17 @@
     def _catalog_changed(self, key: str, value: Any, stamp: Stamp) -> None:
         self.types = {t[0]: msgspec.convert(t, MachineType) for t in value or ()}
         for machine in self.machines.values():
-            machine.type = self.types.get(machine.record.type)
+            machine.set_type(self.types.get(machine.record.type))
         self.watcher.changed()
 
     def _record_changed(self, key: str, value: Any, stamp: Stamp) -> None:
         id = MachineId(key[len(MACHINE):])
-        if value is None:
+        if value is None or value.get("gone"):
+            # A late copy of a report must not bring back what was returned.
+            if value is None:
+                self.gone.discard(id)
+            else:
+                self.gone.add(id)
             self.records.pop(id, None)
             self.addrs.pop(id, None)
             self._drop(id, "released")
@@ -208,9 +259,10 @@
 
     def _add(self, id: MachineId, record: Record, holding: Holding) -> None:
         machine = Machine(id, record, holding, self.cx.now)
-        machine.type = self.types.get(record.type)
+        machine.set_type(self.types.get(record.type))
         machine.addr = self.addrs.get(id, "")
         self.machines[id] = machine
+        self._of_share.setdefault(record.share, {})[id] = machine
         self._take_over_state(machine)
 
     # --- machines that change owners -----------------------------------------------------
@@ -234,6 +286,7 @@
         if state is None or self.cx.now - at > 5.0:
             return
         del self._given[machine.id]
+        machine.fetches = None
         for image, size in state["images"]:
             machine.images[str(image)] = float(size)
         # Only a machine that came empty from its owner, and nothing newer heard of it.
@@ -243,11 +296,13 @@
             machine.seq = int(state["seq"])
             machine.token_seen = Token(int(state["token"]))
             machine.heard = machine.up_since = self.cx.now
+            self._dirty[machine.id] = None  # an empty command shows that it can be reached
             self.watcher.changed()
 
     def _drop(self, id: MachineId, why: str) -> None:
         machine = self.machines.pop(id, None)
         if machine is not None:
+            del self._of_share[machine.share.number][id]
             for placement in list(machine.placements.values()):
                 self._remove(placement, why)
             self.watcher.changed()
@@ -256,15 +311,13 @@
         for id, record in self.records.items():
             if record.share == holding.number:
                 self._add(id, record, holding)
-        for machine in self.of_share(holding.number):
-            self._settle_by_command(machine)
 
     def lose(self, share: ShareNo) -> None:
         for machine in list(self.of_share(share)):
             self._drop(machine.id, "share lost")
 
     def of_share(self, share: ShareNo) -> list[Machine]:
-        return [m for m in self.machines.values() if m.share.number == share]
+        return list(self._of_share.get(share, {}).values())
 
     # --- placements ----------------------------------------------------------------------
 
@@ -282,14 +335,25 @@
         self._activate(placement)
 
     def _activate(self, placement: Placement) -> None:
-        placement.machine.used = placement.machine.used.plus(placement.size)
+        placement.machine.use(placement.machine.used.plus(placement.size))
+        placement.machine.fetches = None
+        self._of_job.setdefault(placement.task.job, {})[placement] = None
+        if placement.stage in RUNNING:
+            self._count_running(placement.task.job, 1)
         if placement.job is not None and placement.job.spec.service:
             placement.machine.lasting += placement.size.cpus
         self.where.setdefault(placement.task, []).append(placement)
         self.watcher.placed(placement)
 
-    def _deactivate(self, placement: Placement) -> None:
-        placement.machine.used = placement.machine.used.minus(placement.size)
+    def _deactivate(self, placement: Placement, stage: str) -> None:
+        placement.machine.use(placement.machine.used.minus(placement.size))
+        placement.machine.fetches = None
+        held = self._of_job[placement.task.job]
+        del held[placement]
+        if not held:
+            del self._of_job[placement.task.job]
+        if stage in RUNNING:
+            self._count_running(placement.task.job, -1)
         if placement.job is not None and placement.job.spec.service:
             placement.machine.lasting -= placement.size.cpus
         others = self.where[placement.task]
@@ -298,15 +362,23 @@
             del self.where[placement.task]
         self.watcher.lifted(placement)
 
+    def _count_running(self, job: JobId, by: int) -> None:
+        self._running[job] = self._running.get(job, 0) + by
+        if not self._running[job]:
+            del self._running[job]
+
     def _remove(self, placement: Placement, why: str) -> None:
         machine = placement.machine
         machine.placements.pop((placement.task, placement.attempt), None)
+        active, stage = placement.active, placement.stage
+        if active:
+            placement.stage = "ended"
+            self._deactivate(placement, stage)
         if not machine.placements:
-            machine.used = NOTHING  # no rounding left over
+            machine.use(NOTHING)  # no rounding left over
+            machine.lasting = 0.0
             machine.empty_since = self.cx.now
-        if placement.active:
-            placement.stage = "ended"
-            self._deactivate(placement)
+        if active:
             self.watcher.gone(placement, why)
 
     def stop(self, placement: Placement, grace_s: float = 0.0) -> None:
@@ -323,31 +395,62 @@
 
     # --- what workers say ----------------------------------------------------------------
 
-    def hear(self, report: Report) -> bool:
-        """Take a message of a machine owned here. False: it is older than what is known."""
+    def hear(self, report: Report, since: Known | None = None) -> bool:
+        """Take a message of a machine owned here. False: it is not believed.
+
+        `since` is given for an answer to a question or command of ours, which is live: what
+        was known when it was sent. A report may be a late copy instead, so it counts only if
+        nothing speaks against it: in one life of a worker its numbers rise, and its token
+        never goes back.
+        """
         machine = self.machines.get(report.machine)
         if machine is None:
             return False
-        if report.addr and machine.addr != report.addr:
-            machine.addr = report.addr
-        if (report.session, report.seq) <= (machine.session, machine.seq):
+        number = (report.session, report.seq)
+        if since is not None and (number < since.number or report.token < since.token):
+            self._restarted(machine, report)
+        elif report.token < max(machine.token_seen, machine.born):
+            # From another life of this worker, the one before or the one after: ask it.
+            if since is None:
+                self.ask(machine)
+            return False
+        elif number <= (machine.session, machine.seq):
+            # An old copy, or a worker that came back without memory.
+            if since is None and number <= machine.report_number:
+                self.ask(machine)
             return False
         # What a session says that surely ended is of no use, however late it arrives.
         if report.session <= machine.expired_session:
+            if since is None:
+                self.ask(machine)
             return False
         usable = self.usable(machine)
+        now = self.cx.now
         if report.session > machine.session:
             if machine.session:
                 for placement in list(machine.placements.values()):
                     self._remove(placement, "session")
+                # Its lease ran out, so answers may not reach it.
+                machine.doubt_reach(now)
+                machine.doubted_at = now
+                self._dirty[machine.id] = None
             machine.images.clear()
-            machine.unknown = Token(0)  # orders for an earlier session are refused
-            machine.up_since = self.cx.now
+            machine.fetches = None
+            machine.up_since = now
         if machine.heard < 0:
-            machine.up_since = self.cx.now
+            machine.up_since = now
+            machine.doubted_at = now
+            self._dirty[machine.id] = None  # an empty command shows that it can be reached
+        if since is None:
+            self._check_orders(machine, report)
+            machine.report_number = number
+        machine.addr = report.addr or machine.addr
         machine.session, machine.seq = report.session, report.seq
-        machine.heard = self.cx.now
+        machine.heard = now
+        doubted = machine.doubted
         machine.token_seen = max(machine.token_seen, report.token)
+        if not machine.doubted and (doubted or since is not None):
+            machine.reached = now
         if report.notice_s is not None:
             if machine.notice_until is None:
                 self.cx.log("info", f"machine {machine.id}: notice, {report.notice_s:.1f} s")
@@ -365,8 +468,6 @@
             if placement.seen or (placement.fence and report.token >= placement.fence):
                 self._remove(placement, "absent")
                 self.watcher.changed()
-        if machine.unknown and report.token >= machine.unknown:
-            machine.unknown = Token(0)
         if not machine.settled and report.token >= machine.base_token:
             machine.settled = True
             self.watcher.changed()
@@ -375,6 +476,89 @@
             self.watcher.changed()
         return True
 
+    def overtaken(self, report: Report) -> bool:
+        """Is it a report that a later direct answer of its worker overtook? Its worker still
+        waits for an answer, unlike that of a copy."""
+        machine = self.machines.get(report.machine)
+        number = (report.session, report.seq)
+        if (machine is None or report.session != machine.session or machine.doubted
+                or not machine.report_number < number <= (machine.session, machine.seq)):
+            return False
+        machine.report_number = number
+        return True
+
+    def _restarted(self, machine: Machine, report: Report) -> None:
+        """A live answer went back in its numbers: the worker lost its memory, and with it
+        every task. Reports of its former life must not be taken for news of this one, so
+        only those that show a token raised now are believed."""
+        self.cx.log("warning", f"machine {machine.id}: came back without memory")
+        for placement in list(machine.placements.values()):
+            self._remove(placement, "restart")
+        machine.images.clear()
+        machine.fetches = None
+        machine.session, machine.seq = report.session, -1
+        machine.report_number = (report.session, -1)
+        machine.expired_session = Session(0)
+        machine.token_seen = report.token
+        machine.doubt_reach(self.cx.now)
+        machine.doubted_at = machine.up_since = self.cx.now
+        machine.born = machine.doubt
+        self._dirty[machine.id] = None
+
+    def _check_orders(self, machine: Machine, report: Report) -> None:
+        """A worker sends its next report only after it had the answer to the one before, or
+        gave it up: orders of that answer that left no trace did not arrive."""
+        listed = {(entry.task, entry.attempt) for entry in report.tasks}
+        if any(0 <= p.given < report.seq and not p.seen and key not in listed
+               for key, p in machine.placements.items()):
+            self.doubt(machine)
+
+    def doubt(self, machine: Machine) -> None:
+        """Something speaks against its being reachable: a raised token will tell, by way of
+        a command at once or of the next answers."""
+        if not machine.doubted:
+            machine.doubt_reach(self.cx.now)
+            self._dirty[machine.id] = None
+
+    def beaten(self, machine: Machine, relayed: bool) -> None:
+        """A report came by way of a peer, or after a pause in which the worker tried others:
+        so an answer may have failed to reach it."""
+        now = self.cx.now
+        pause = max(0.95 * (REPORT_PATIENCE_S + RETRY_AFTER_S),
+                    1.25 * self.cx.platform.settings.workers.report_s + 0.75)
+        odd = relayed or now - machine.heard > pause
+        if odd and machine.heard >= 0 and now - machine.reached > REPORT_PATIENCE_S:
+            self.doubt(machine)
+
+    def ask(self, machine: Machine) -> None:
+        """Ask the worker itself: no report is believed over its live answer."""
+        now = self.cx.now
+        if machine.probing or not machine.addr or now < machine.asked_at + 1.0:
+            return
+        machine.probing = True
+        machine.asked_at = now
+        since = machine.known
+
+        def done(outcome: Outcome) -> None:
+            machine.probing = False
+            if self.machines.get(machine.id) is machine and isinstance(outcome.body, Report):
+                self.hear(outcome.body, since)
+
+        self.cx.out.append(Probe(done, machine.addr))
+
+    def patience(self) -> float:
+        """How long a machine may be silent, or heard without being reached: a worker cut off
+        from here needs a lost report and a try elsewhere to be heard by way of a peer."""
+        workers = self.cx.platform.settings.workers
+        return max(2.5 * workers.report_s, 0.45 * workers.lease_s,
+                   min(REPORT_PATIENCE_S + 1.75 + 1.25 * workers.report_s, 0.7 * workers.lease_s))
+
+    def unreached_s(self, machine: Machine) -> float:
+        """For how long has it been heard without showing that it is reached?"""
+        if not machine.doubted or machine.heard < 0:
+            return 0.0
+        return self.cx.now - max(machine.doubted_at, machine.share.since)
+
     def _listed(self, machine: Machine, entry: TaskReport) -> None:
         placement = machine.placements.get((entry.task, entry.attempt))
         job = self.jobs.get(entry.task.job)
@@ -385,18 +569,26 @@
             if entry.stage == "ended":
                 self.watcher.changed()
         if job is not None and placement.job is None:
-            placement.job = job
+            # Counted from now on, and with its size.
+            if placement.active:
+                self._deactivate(placement, placement.stage)
+            placement.job, placement.size = job, job.size
+            if placement.active:
+                self._activate(placement)
         placement.seen = True
         if entry.stage == placement.stage:
             return
         before, placement.stage = placement.stage, entry.stage
+        machine.fetches = None
         if entry.stage == "ended":
             placement.cause = entry.cause
             if before != "ended":
-                self._deactivate(placement)
+                self._deactivate(placement, before)
                 self.watcher.gone(placement, entry.cause)
         elif before == "ended":
             self._activate(placement)
+        elif (before in RUNNING) != (entry.stage in RUNNING):
+            self._count_running(entry.task.job, 1 if entry.stage in RUNNING else -1)
         if job is not None and (entry.stage == "running" or entry.cause == "done"):
             if before != "running":
                 placement.ran_since = self.cx.now
@@ -405,6 +597,7 @@
 
     def _remember_image(self, machine: Machine, job: Job) -> None:
         images = machine.images
+        machine.fetches = None
         images[job.spec.image] = job.spec.image_gb
         images.move_to_end(job.spec.image)
         if machine.type is not None:
@@ -421,7 +614,7 @@
                 # Only in answers to reports: one report is in flight at a time, so no older
                 # answer can still carry an order to start this attempt. The same must hold
                 # for direct commands, or the attempt would start once more.
-                if (answering and not machine.do_open and not machine.unknown
+                if (answering and not machine.do_open and not machine.doubted
                         and self._stored(placement)):
                     orders.append(Order("forget", placement.task, placement.attempt))
             elif placement.stopping:
@@ -430,6 +623,8 @@
                                         placement.grace_s))
             elif not placement.seen:
                 orders.append(Order("start", placement.task, placement.attempt))
+                if answering and placement.given < 0:
+                    placement.given = machine.seq
         return tuple(orders)
 
     def _stored(self, placement: Placement) -> bool:
@@ -443,10 +638,6 @@
     def answered(self, machine: Machine) -> None:
         machine.last_answer = max(machine.last_answer, self.cx.now)
 
-    def _settle_by_command(self, machine: Machine) -> None:
-        if not machine.settled and machine.session and machine.addr:
-            self._dirty[machine.id] = None
-
     def push(self) -> None:
         """Send what is new straight to the workers; the next report's answer repeats it."""
         now = self.cx.now
@@ -460,27 +651,38 @@
             del self._dirty[id]
             orders = self.orders(machine, answering=False)
             fencing = any(p.fence > machine.token_seen for p in machine.placements.values())
-            if machine.addr and machine.session and (orders or fencing or not machine.settled):
+            if machine.addr and machine.session and (orders or fencing or machine.doubted):
                 self._command(machine, orders)
 
     def _command(self, machine: Machine, orders: tuple[Order, ...]) -> None:
         machine.do_open = True
-        token, session = machine.token, machine.session
+        token, session, since = machine.token, machine.session, machine.known
+        starts = [p for p in machine.placements.values()
+                  if not p.seen and not p.stopping and p.active]
+        first = [p for p in starts if not p.commanded]
+        for placement in starts:
+            placement.commanded = True
 
         def done(outcome: Outcome) -> None:
             machine.do_open = False
             if self.machines.get(machine.id) is not machine:
                 return
             if isinstance(outcome.body, Report):
-                self.hear(outcome.body)
+                self.hear(outcome.body, since)
                 if outcome.status == 409 and machine.session == session:
                     self.cx.log("info", f"machine {machine.id} refused token {token}")
-            elif outcome.sent:
+                return
+            machine.do_after = Instant(self.cx.now + 1.0)
+            if outcome.sent:
                 # It may be executed at any time while token and session match.
-                machine.unknown = machine.raise_fence()
-                machine.do_after = Instant(self.cx.now + 1.0)
-            else:
-                machine.do_after = Instant(self.cx.now + 1.0)
+                machine.doubt_reach(self.cx.now)
+                return
+            if machine.reached < outcome.began:
+                self.doubt(machine)
+            for placement in first:
+                # The order to start it never left, in this command or an answer: it is nowhere.
+                if placement.given < 0 and not placement.seen and placement.active:
+                    self._remove(placement, "unsent")
 
         self.cx.out.append(Command(done, machine.addr, token, session, orders))
 
@@ -490,7 +692,7 @@
         now = self.cx.now
         for machine in self.machines.values():
             if now > machine.last_answer + self.cx.lease_s and (
-                machine.placements or machine.unknown or not machine.settled
+                machine.placements or not machine.settled
             ):
                 self._expire(machine)
         for holding in self.shares.mine.values():
@@ -506,7 +708,6 @@
         machine.expired_session = machine.session
         for placement in list(machine.placements.values()):
             self._remove(placement, "lease")
-        machine.unknown = Token(0)
         machine.settled = True
         self.watcher.changed()
 
@@ -526,6 +727,7 @@
             machine.type is not None
             and machine.session > machine.expired_session
             and machine.settled
+            and not machine.doubted
             and not machine.record.leaving
             and not machine.moving
             and machine.notice_until is None
@@ -543,21 +745,15 @@
                 machine.addr = addr
 
     def running_of(self, uid: JobId) -> int:
-        return sum(1 for p in self.of_job(uid) if p.stage in ("running", "saving"))
+        return self._running.get(uid, 0)
 
-    def running_counts(self) -> dict[str, int]:
-        counts: dict[str, int] = {}
-        for task, held in self.where.items():
-            if any(p.stage in ("running", "saving") for p in held):
-                counts[task.job] = counts.get(task.job, 0) + 1
-        return counts
+    def running_counts(self) -> dict[JobId, int]:
+        return dict(self._running)
 
     def of_job(self, uid: JobId) -> list[Placement]:
-        return [p for task, held in self.where.items() if task.job == uid for p in held]
+        """Its active placements."""
+        return list(self._of_job.get(uid, ()))
 
     def placements(self, share: ShareNo) -> Iterable[Placement]:
-        for machine in self.machines.values():
-            if machine.share.number == share:
-                yield from machine.placements.values()
-
-
+        for machine in self._of_share.get(share, {}).values():
+            yield from machine.placements.values()
--- a/runcourse/core/node.py
+++ b/runcourse/core/node.py
@@ -177,8 +177,9 @@
 
     def _beat(self, beat: Beat) -> None:
         report = beat.report
-        self.fleet.learn_addr(report.machine, report.addr)
         record = self.fleet.records.get(report.machine)
+        if record is not None:
+            self.fleet.learn_addr(report.machine, report.addr)
         if not self.store.ready:
             self._answer(beat, AnswerBeat(beat.request, 503))
         elif record is None:
@@ -193,9 +194,20 @@
 
     def _own_beat(self, beat: Beat, share: ShareNo) -> None:
         machine = self.fleet.machines.get(beat.report.machine)
-        # A report that is older than what is known was given up by its worker.
-        if (machine is None or not self.shares.may_command(share)
-                or not self.fleet.hear(beat.report)):
+        if machine is None or not self.shares.may_command(share):
+            self._answer(beat, AnswerBeat(beat.request, 503))
+            return
+        self.fleet.beaten(machine, beat.relayed_by is not None)
+        if not self.fleet.hear(beat.report):
+            if self.fleet.overtaken(beat.report):
+                self.fleet.answered(machine)
+                self._answer(beat, AnswerBeat(beat.request, 200, machine.token))
+            else:
+                self._answer(beat, AnswerBeat(beat.request, 503))
+            return
+        if self.fleet.unreached_s(machine) > self.fleet.patience():
+            # Answers don't reach it, as it seems; without them its lease surely ends, which
+            # proves its tasks gone. One that heard them after all comes with a new session.
             self._answer(beat, AnswerBeat(beat.request, 503))
             return
         self.scheduler.turn()
--- a/runcourse/core/quota.py
+++ b/runcourse/core/quota.py
@@ -30,6 +30,7 @@
             for t in cx.platform.settings.teams
         }
         self._held: dict[Team, Size] = {}
+        self._ranks: dict[int, int] = {}  # placements by rank
 
     def held(self, team: Team) -> Size:
         return self._held.get(team, NOTHING)
@@ -38,11 +39,14 @@
         if placement.job is not None:
             team = Team(placement.job.spec.team)
             self._held[team] = self.held(team).plus(placement.size)
+            rank = placement.job.spec.rank
+            self._ranks[rank] = self._ranks.get(rank, 0) + 1
 
     def remove(self, placement: Placement) -> None:
         if placement.job is not None:
             team = Team(placement.job.spec.team)
             self._held[team] = self.held(team).minus(placement.size)
+            self._ranks[placement.job.spec.rank] -= 1
 
     def refuses(self, job: Job) -> str | None:
         """Why the job can never run within its team's limit, if so."""
@@ -93,6 +97,14 @@
         held = self.held(team).minus(stopping)
         return held.cpus > limits.cpus + SLACK or held.gpus > limits.gpus + SLACK
 
+    def could_stop(self, waiting: Job, guaranteed: bool) -> bool:
+        """Is there anything at all that `may_stop` might say yes to?"""
+        rank = waiting.spec.rank
+        if any(n > 0 and r > rank for r, n in self._ranks.items()):
+            return True
+        return (guaranteed and self._ranks.get(rank, 0) > 0
+                and any(team != waiting.spec.team and self.beyond(team) for team in self.teams))
+
     def may_stop(self, waiting: Job, guaranteed: bool, victim: Placement,
                  stopping: Size = NOTHING) -> bool:
         """PROTOCOL's "Preemption": a higher rank, or a guarantee against borrowed room.
--- a/runcourse/core/rental.py
+++ b/runcourse/core/rental.py
@@ -9,7 +9,7 @@
 
 from .authority import Authority
 from .context import Context
-from .ids import ABSENT, LONG_AGO, Instant, MachineId, ShareNo, Stamp, Team
+from .ids import ABSENT, LONG_AGO, START, Instant, MachineId, ShareNo, Stamp, Team
 from .machines import Fleet, Machine, Record
 from .placement import Size, fits_times
 from .scheduler import Scheduler
@@ -20,6 +20,7 @@
     ListMachines,
     MachineType,
     Outcome,
+    Probe,
     ReadCatalog,
     Release,
     Rent,
@@ -30,19 +31,22 @@
 LOAD_EVERY_S = 0.25
 PLAN_EVERY_S = 0.5
 CATALOG_EVERY_S = 30.0
-REPORT_PATIENCE_S = 4.0  # how long a worker waits for the answer to a report
-MAX_HIRE = 50
+MAX_HIRE = 50  # machines in one request, by the protocol
 MAX_RELEASE = 100
+REMEMBERED = 3000  # ids of returned machines kept in the store
+
+Place = tuple[str, str, bool]  # type, zone, spot
 
 
 class Need:
     """Waiting tasks of one shape in one share."""
 
-    __slots__ = ("age", "count", "rank", "shut", "size", "spot", "types", "zone")
+    __slots__ = ("age", "asked", "count", "rank", "shut", "size", "spot", "types", "zone")
 
     def __init__(self, raw: dict[str, Any]) -> None:
         self.size = Size(*raw["size"])
-        self.count = int(raw["n"])
+        self.asked = int(raw["n"])
+        self.count = self.asked  # what is left of it while a plan is made
         self.age = float(raw["age"])  # how long the oldest has waited
         self.rank = int(raw["rank"])
         self.spot = bool(raw["spot"])
@@ -64,6 +68,16 @@
         self.machines: dict[str, list[float]] = raw["machines"]
 
 
+def _in_turn(shares: list[ShareNo]) -> list[ShareNo]:
+    """The same shares, dealt so that any beginning of the list holds some of each."""
+    seen: dict[ShareNo, int] = {}
+    ranked = []
+    for share in shares:
+        seen[share] = seen.get(share, 0) + 1
+        ranked.append((seen[share] / shares.count(share), share))
+    return [share for _, share in sorted(ranked)]
+
+
 class Rental:
     def __init__(self, cx: Context, store: Store, authority: Authority, shares: Shares,
                  fleet: Fleet, scheduler: Scheduler) -> None:
@@ -84,13 +98,16 @@
         self._releasing: set[MachineId] = set()
         self._released: set[MachineId] = set()
         self._adopting: dict[MachineId, Record] = {}  # being recorded
+        self._listed_now: set[MachineId] = set()  # in the newest list
+        self._asking: set[MachineId] = set()  # reported, unknown, and asked themselves
         self._drop_later: list[MachineId] = []
         self._again: list[Callable[[], None]] = []
         self._again_at = Instant(0.0)
         self._first_listed: dict[MachineId, Instant] = {}
         self._recorded_at: dict[MachineId, tuple[Stamp, Instant]] = {}
         self._refused: dict[tuple[str, str, bool], tuple[float, Instant]] = {}
-        self._pending_hires: dict[str, tuple[Rent, ShareNo]] = {}
+        self._pending_hires: dict[str, tuple[Rent, list[ShareNo]]] = {}
+        self._cpus: dict[ShareNo, float] = {}  # of each share's machines, as of the newest plan
         self._led_since: Instant | None = None
         self._peaks: deque[tuple[Instant, float]] = deque()
         self._drain_at = cx.now
@@ -231,71 +248,131 @@
 
     def _listed(self, machines: tuple[CloudMachine, ...], began: Instant) -> None:
         lag = self.cx.platform.settings.cloud.list_lag_s
-        present = set()
+        present: set[MachineId] = set()
+        found: list[tuple[MachineId, str, str, bool, ShareNo | None]] = []
+        failed: list[MachineId] = []
         for m in machines:
             present.add(m.id)
             first = self._first_listed.setdefault(m.id, began)
-            record = self.fleet.records.get(m.id)
+            if m.id in self._released or m.id in self.fleet.gone:
+                continue
             self.fleet.learn_addr(m.id, m.addr)
-            if record is None:
-                if m.id not in self._released:
-                    self._adopt(m.id, m.type, m.zone, m.spot)
+            if m.id not in self.fleet.records:
+                found.append((m.id, m.type, m.zone, m.spot, None))
             elif m.stage == "failed" and began >= first:
-                self._release([m.id])
+                failed.append(m.id)
+        self._listed_now = present
+        self._adopt(found)
+        for n in range(0, len(failed), MAX_RELEASE):
+            self._release(failed[n:n + MAX_RELEASE])
         # Once listed, a machine stays listed until it is gone; but a list may be older than
         # the one before it, by no more than twice the lag.
+        gone = []
         for id, first in list(self._first_listed.items()):
             if id not in present and began > first + 2 * lag + 1.0:
                 del self._first_listed[id]
                 if id in self.fleet.records:
                     self.cx.log("info", f"machine {id} is gone from the cloud")
-                    self._drop_record(id)
+                    gone.append(id)
+        self._drop_records(gone)
 
-    def _drop_record(self, id: MachineId) -> None:
-        record = self.fleet.records.get(id)
-        if record is None or not self.leading:
+    def _drop_records(self, ids: list[MachineId]) -> None:
+        """Machines that are surely gone. Their ids stay in the store: late copies of their
+        reports must not bring them back, whoever leads by then."""
+        if not self.leading:
             return
-        self._released.add(id)
+        ids = [id for id in ids if id in self.fleet.records]
+        self._released.update(ids)
+        size = max(1, self.cx.platform.settings.state.txn_ops)
+        for n in range(0, len(ids), size):
+            self._drop_batch(ids[n:n + size])
+        surplus = len(self.fleet.gone) - REMEMBERED
+        if surplus > 0:
+            oldest = sorted(self.fleet.gone)[:min(surplus, size)]
+            self.store.commit([self._guard()], [(MACHINE + id, None, None) for id in oldest],
+                              lambda result, stamp: None, Store.LATER)
 
+    def _drop_batch(self, ids: list[MachineId]) -> None:
         def done(result: str, stamp: Stamp) -> None:
-            if result != "ok" and id in self.fleet.records:
-                self._drop_later.append(id)
+            if result != "ok":
+                self._drop_later.extend(id for id in ids if id in self.fleet.records)
 
-        self.store.commit([self._guard(), (MACHINE + id, int(record.stamp))],
-                          [(MACHINE + id, None, None)], done, Store.OWNER)
+        when = [(MACHINE + id, int(self.fleet.records[id].stamp)) for id in ids]
+        self.store.commit([self._guard(), *when],
+                          [(MACHINE + id, {"gone": True}, None) for id in ids], done, Store.OWNER)
 
     def reported_unknown(self, report: Report) -> None:
-        """A worker reports whose machine nobody recorded: a late hire, or an old fleet."""
+        """A worker reports whose machine nobody recorded: a late hire, an old fleet, or a
+        late copy of a report of a machine that is gone."""
+        if report.machine in self.fleet.gone:
+            return
         if self.leading:
-            self._adopt(report.machine, report.type, report.zone, report.spot)
+            self._check_unknown(report.machine, report.addr, report.type, report.zone,
+                                report.spot)
         else:
             leader = self.leader()
             if leader and leader != self.cx.me:
                 self.cx.out.append(Say(self._member(leader), {
-                    "t": "unknown", "id": report.machine, "type": report.type,
-                    "zone": report.zone, "spot": report.spot}))
+                    "t": "unknown", "id": report.machine, "addr": report.addr,
+                    "type": report.type, "zone": report.zone, "spot": report.spot}))
 
     def told_unknown(self, message: dict[str, Any]) -> None:
         if self.leading:
-            self._adopt(MachineId(str(message["id"])), str(message["type"]),
-                        str(message["zone"]), bool(message["spot"]))
-
-    def _adopt(self, id: MachineId, type_: str, zone: str, spot: bool,
-               share: ShareNo | None = None) -> None:
-        if id in self._adopting or id in self.fleet.records or id in self._released:
+            self._check_unknown(MachineId(str(message["id"])), str(message["addr"]),
+                                str(message["type"]), str(message["zone"]), bool(message["spot"]))
+
+    def _check_unknown(self, id: MachineId, addr: str, type_: str, zone: str, spot: bool
+                       ) -> None:
+        """A report is no proof that its machine exists: the cloud's list is, or the worker
+        itself, asked now."""
+        if id in self.fleet.gone or id in self._released or id in self.fleet.records:
             return
-        if type_ not in self.fleet.types:
-            return
-        if share is None:
-            share = self._poorest(type_)
-        record = Record(share, type_, zone, spot, False, ABSENT)
-        self._adopting[id] = record
-
+        if id in self._listed_now:
+            self._adopt([(id, type_, zone, spot, None)])
+        elif id not in self._asking and addr:
+            self._asking.add(id)
+
+            def done(outcome: Outcome) -> None:
+                self._asking.discard(id)
+                live = outcome.body
+                if isinstance(live, Report) and live.machine == id and self.leading:
+                    self._adopt([(id, live.type, live.zone, live.spot, None)])
+
+            self.cx.out.append(Probe(done, addr))
+
+    def _adopt(self, found: list[tuple[MachineId, str, str, bool, ShareNo | None]]) -> None:
+        """Record machines, for the share named or the one that has least; as many at once as
+        a transaction takes."""
+        batch: list[MachineId] = []
+        counts: tuple[dict[ShareNo, float], dict[tuple[ShareNo, str], int]] | None = None
+        for id, type_, zone, spot, share in found:
+            if (id in self._adopting or id in self.fleet.records or id in self._released
+                    or id in self.fleet.gone or type_ not in self.fleet.types):
+                continue
+            if share is None:
+                counts = counts or self._counts()
+                share = self._poorest(type_, *counts)
+                counts[0][share] += self.fleet.types[type_].cpus
+                counts[1][share, type_] = counts[1].get((share, type_), 0) + 1
+            self._adopting[id] = Record(share, type_, zone, spot, False, ABSENT)
+            batch.append(id)
+        size = max(1, self.cx.platform.settings.state.txn_ops)
+        for n in range(0, len(batch), size):
+            self._record(batch[n:n + size])
+
+    def _record(self, ids: list[MachineId]) -> None:
         def done(result: str, stamp: Stamp) -> None:
-            self._adopting.pop(id, None)
+            for id in ids:
+                record = self._adopting.pop(id, None)
+                # One of them has a record already: the others one by one.
+                if (result == "conflict" and len(ids) > 1 and record is not None
+                        and id not in self.fleet.records and id not in self.fleet.gone):
+                    self._adopting[id] = record
+                    self._record([id])
 
-        self.store.commit([self._guard(), (MACHINE + id, ABSENT)],
-                          [(MACHINE + id, record.value(), None)], done, Store.OWNER)
+        self.store.commit([self._guard(), *((MACHINE + id, int(ABSENT)) for id in ids)],
+                          [(MACHINE + id, self._adopting[id].value(), None) for id in ids],
+                          done, Store.OWNER)
 
     def _wanted(self, share: ShareNo) -> float:
         """What a share should hold of the fleet, in CPUs: its waiting and running requests,
@@ -306,30 +383,29 @@
         waiting = sum(n.size.cpus * n.count for n in load.needs) if load else 0.0
         return max(teams, 0.5) + (load.used if load else 0.0) + waiting
 
-    def _cpus_of(self, share: ShareNo) -> float:
-        return sum(
-            self.fleet.types[r.type].cpus for r in self.fleet.records.values()
-            if r.share == share and not r.leaving and r.type in self.fleet.types
-        )
-
-    def _poorest(self, type_: str) -> ShareNo:
-        """The share that a machine without one goes to: least for what it wants."""
-        shares = self.shares.all()
-        counts = {s: self._cpus_of(s) for s in shares}
-        same = dict.fromkeys(shares, 0)
-        # Those on their way into the records count too, or a whole list goes to one share.
+    def _counts(self) -> tuple[dict[ShareNo, float], dict[tuple[ShareNo, str], int]]:
+        """CPUs of each share, and machines by share and type. Those on their way into the
+        records count too, or a whole list goes to one share."""
+        cpus = dict.fromkeys(self.shares.all(), 0.0)
+        same: dict[tuple[ShareNo, str], int] = {}
         for record in (*self.fleet.records.values(), *self._adopting.values()):
-            same[record.share] += record.type == type_
-        for record in self._adopting.values():
-            counts[record.share] += self.fleet.types[record.type].cpus
-        return min(shares, key=lambda s: (counts[s] / self._wanted(s), same[s], s))
+            if not record.leaving and record.type in self.fleet.types:
+                cpus[record.share] += self.fleet.types[record.type].cpus
+                key = (record.share, record.type)
+                same[key] = same.get(key, 0) + 1
+        return cpus, same
+
+    def _poorest(self, type_: str, cpus: dict[ShareNo, float],
+                 same: dict[tuple[ShareNo, str], int]) -> ShareNo:
+        """The share that a machine without one goes to: least for what it wants."""
+        return min(self.shares.all(), key=lambda s: (cpus[s] / self._wanted(s),
+                                                     same.get((s, type_), 0), s))
 
     # --- releasing -----------------------------------------------------------------------
 
     def _release_leaving(self) -> None:
         later, self._drop_later = self._drop_later, []
-        for id in later:
-            self._drop_record(id)
+        self._drop_records(later)
         leaving = [id for id, r in self.fleet.records.items()
                    if r.leaving and id not in self._releasing]
         if leaving:
@@ -345,8 +421,7 @@
             self._releasing.difference_update(ids)
             if outcome.status == 200:
                 # They and everything on them are gone: the records may go too.
-                for id in ids:
-                    self._drop_record(id)
+                self._drop_records(ids)
 
         self.cx.out.append(Release(done, ids))
 
@@ -357,7 +432,8 @@
 
     def _plan(self) -> None:
         now = self.cx.now
-        booting: dict[ShareNo, list[Record]] = {s: [] for s in self.shares.all()}
+        self._cpus, _ = self._counts()
+        booting: dict[ShareNo, dict[Place, float]] = {s: {} for s in self.shares.all()}
         idle: dict[ShareNo, list[tuple[float, MachineId, Record]]] = {
             s: [] for s in self.shares.all()}
         for id, record in self.fleet.records.items():
@@ -373,7 +449,9 @@
             info = load.machines.get(str(id)) if load else None
             if info is None or info[0] < 0:
                 if now - since < self._boot_limit(type_):
-                    booting[record.share].append(record)
+                    place = (record.type, record.zone, record.spot)
+                    there = booting[record.share]
+                    there[place] = there.get(place, 0.0) + 1.0
                 elif info is not None:
                     # Never came up, or much too late: returned and replaced elsewhere.
                     self.cx.log("info", f"machine {id} did not come up, returned")
@@ -383,33 +461,39 @@
                     self._recorded_at[id] = (record.stamp, again)
             elif info[1] >= 0:
                 idle[record.share].append((info[1], id, record))
+        # What is being hired or recorded counts as on its way, or it would be hired again.
+        for record in self._adopting.values():
+            place = (record.type, record.zone, record.spot)
+            booting[record.share][place] = booting[record.share].get(place, 0.0) + 1.0
+        for rent, shares in self._pending_hires.values():
+            for share in shares:
+                place = (rent.type, rent.zone, rent.spot)
+                booting[share][place] = booting[share].get(place, 0.0) + 1.0
+        for share in self.shares.all():
+            idle[share].sort(reverse=True)
         unmet: dict[ShareNo, list[Need]] = {}
         for share in self.shares.all():
             load = self.loads.get(share)
             if load is not None and now - load.at < 5.0:
                 unmet[share] = self._left_over(load.needs, booting[share])
         self._move_idle(unmet, idle)
-        for share, needs in unmet.items():
-            for need in needs:
-                if need.count > 0:
-                    self._hire_for(share, need)
-        self._keep_spare(booting, idle)
+        self._hire_for(unmet)
+        self._keep_spare(idle)
 
-    def _left_over(self, needs: list[Need], booting: list[Record]) -> list[Need]:
-        """Needs that the machines on their way will not meet."""
-        rooms: list[list[Any]] = [[r, self.fleet.types[r.type].size] for r in booting]
+    def _left_over(self, needs: list[Need], booting: dict[Place, float]) -> list[Need]:
+        """Needs that the machines on their way will not meet, taken by their number: which
+        task will go to which of them is not decided here."""
+        left = dict(booting)
         for need in needs:
-            for entry in rooms:
-                record: Record = entry[0]
-                if not self._serves(need, record.type, record.zone, record.spot):
+            need.count = need.asked
+            for place, machines in left.items():
+                if machines <= 0 or not self._serves(need, *place):
                     continue
-                room: Size = entry[1]
-                n = min(need.count, fits_times(need.size, room))
-                if n:
+                each = fits_times(need.size, self.fleet.types[place[0]].size)
+                if each and need.count > 0:
+                    n = min(need.count, math.floor(machines * each + 1e-6))
                     need.count -= n
-                    entry[1] = Size(room.cpus - n * need.size.cpus,
-                                    room.memory - n * need.size.memory,
-                                    room.gpus - n * need.size.gpus)
+                    left[place] = machines - n / each
         return needs
 
     def _serves(self, need: Need, type_: str, zone: str, spot: bool) -> bool:
@@ -435,7 +519,7 @@
                 for other in self.shares.all():
                     if other == share or any(n.count > 0 for n in unmet.get(other, ())):
                         continue
-                    for entry in sorted(idle[other], reverse=True):
+                    for entry in list(idle[other]):
                         seconds, id, record = entry
                         type_ = self.fleet.types[record.type]
                         n = fits_times(need.size, type_.size)
@@ -453,21 +537,15 @@
         pause = min(60.0, max(least, self._refused.get(key, (0.0, self.cx.now))[0] * 2))
         self._refused[key] = (pause, Instant(self.cx.now + pause))
 
-    def _options(self, share: ShareNo, need: Need) -> list[tuple[float, MachineType, str, bool]]:
+    def _options(self, need: Need) -> list[tuple[float, MachineType, str, bool]]:
+        """Where machines for such tasks may be hired: price for one task, type, zone, spot."""
         now = self.cx.now
         options = []
-        counts: dict[tuple[str, bool], int] = {}
-        for record in self.fleet.records.values():
-            # Zones evenly, above all within the share: its replicas want to be apart.
-            weight = 10 if record.share == share else 1
-            counts[(record.zone, record.spot)] = (
-                counts.get((record.zone, record.spot), 0) + weight)
-        zones_known = self.cx.platform.settings.zones
         for type_ in self.fleet.types.values():
             n = fits_times(need.size, type_.size)
             if not n:
                 continue
-            for zone in type_.zones or zones_known:
+            for zone in type_.zones or self.cx.platform.settings.zones:
                 for spot in (False, True):
                     if not self._serves(need, type_.name, zone, spot):
                         continue
@@ -477,55 +555,72 @@
                     if self._refused.get((type_.name, zone, spot), (0.0, now))[1] > now:
                         continue
                     price = type_.spot_price if spot else type_.price
-                    useful = min(n, need.count)
-                    cost = price / useful + 1e-4 * counts.get((zone, spot), 0)
-                    options.append((cost, type_, zone, spot))
-        options.sort(key=lambda o: (o[0], o[1].name, o[2], o[3]))
+                    options.append((price / min(n, need.count), type_, zone, spot))
         return options
 
-    def _hire_for(self, share: ShareNo, need: Need) -> None:
-        if len(self._pending_hires) >= 4:
-            return
-        options = self._options(share, need)
-        if not options:
-            return
-        _, type_, zone, spot = options[0]
-        each = fits_times(need.size, type_.size)
-        number = min(MAX_HIRE, math.ceil(need.count / each), 4)
-        if not spot and len(options) > 1:
-            number = min(number, 1)  # one a zone in turn
-        need.count -= number * each
-        self._hire(type_, zone, spot, number, share)
-
-    def _hire(self, type_: MachineType, zone: str, spot: bool, number: int,
-              share: ShareNo) -> None:
+    def _hire_for(self, unmet: dict[ShareNo, list[Need]]) -> None:
+        """Hire what the needs of all shares come to, in few requests: the cloud's are scarce."""
+        wanted: dict[tuple[ShareNo, str, bool, tuple[str, ...]], float] = {}
+        for share, needs in unmet.items():
+            for need in needs:
+                options = self._options(need) if need.count > 0 else []
+                if not options:
+                    continue
+                _, type_, _, spot = min(options, key=lambda o: (o[0], o[1].name, o[3]))
+                zones = tuple(sorted(z for _, t, z, s in options if t is type_ and s == spot))
+                key = (share, type_.name, spot, zones)
+                each = fits_times(need.size, type_.size)
+                wanted[key] = wanted.get(key, 0.0) + need.count / each
+        counts: dict[tuple[ShareNo, str, bool], int] = {}
+        for record in self.fleet.records.values():
+            key3 = (record.share, record.zone, record.spot)
+            counts[key3] = counts.get(key3, 0) + 1
+        hires: dict[Place, list[ShareNo]] = {}
+        for (share, name, spot, zones), machines in sorted(wanted.items()):
+            for _ in range(math.ceil(machines - 1e-6)):
+                # Zones evenly within the share: its replicas want to be apart.
+                zone = min(zones, key=lambda z: (counts.get((share, z, spot), 0), z))
+                counts[share, zone, spot] = counts.get((share, zone, spot), 0) + 1
+                hires.setdefault((name, zone, spot), []).append(share)
+        most = max(2, round(2 * self.cx.platform.settings.cloud.rps))
+        for place, shares in sorted(hires.items(), key=lambda h: -len(h[1])):
+            # In turn, so that each share has its part of what is granted.
+            shares = _in_turn(shares)
+            for n in range(0, len(shares), MAX_HIRE):
+                if len(self._pending_hires) >= most:
+                    return
+                self._hire(place, shares[n:n + MAX_HIRE])
+
+    def _hire(self, place: Place, shares: list[ShareNo]) -> None:
         self._hires += 1
         # The leader's epoch makes the name unique among all leaders there ever were.
         name = f"r-{self.store.stamp(LEADER)}-{self._hires}"
-        rent = Rent(lambda outcome: self._hired(name, outcome), name, type_.name, zone, spot,
-                    number)
-        self._pending_hires[name] = (rent, share)
+        rent = Rent(lambda outcome: self._hired(name, outcome), name, *place, len(shares))
+        self._pending_hires[name] = (rent, shares)
         self.cx.out.append(rent)
 
     def _hired(self, name: str, outcome: Outcome) -> None:
-        rent, share = self._pending_hires.pop(name)
+        rent, shares = self._pending_hires.pop(name)
         if outcome.status == 200:
             ids: tuple[MachineId, ...] = outcome.body
             self.cx.log("info", f"hired {len(ids)} of {rent.number} {rent.type} in {rent.zone}"
-                                f"{' (spot)' if rent.spot else ''} for share {share}")
+                                f"{' (spot)' if rent.spot else ''}")
             if len(ids) < rent.number:
                 self._note_refusal(rent.type, rent.zone, rent.spot)
             else:
                 self._refused.pop((rent.type, rent.zone, rent.spot), None)
-            for id in ids:
-                if self.leading:
-                    self._adopt(id, rent.type, rent.zone, rent.spot, share)
-        else:
-            # Refused, or of unknown fate: what was hired after all turns up in the list.
+            if self.leading:
+                self._adopt([(id, rent.type, rent.zone, rent.spot, share)
+                             for id, share in zip(ids, shares, strict=False)])
+        elif outcome.status == 503:
             self._note_refusal(rent.type, rent.zone, rent.spot)
+        else:
+            # Too many requests, or of unknown fate: what was hired turns up in the list.
+            key = (rent.type, rent.zone, rent.spot)
+            self._refused[key] = (self._refused.get(key, (0.0, START))[0],
+                                  Instant(self.cx.now + 1.0))
 
-    def _keep_spare(self, booting: dict[ShareNo, list[Record]],
-                    idle: dict[ShareNo, list[tuple[float, MachineId, Record]]]) -> None:
+    def _keep_spare(self, idle: dict[ShareNo, list[tuple[float, MachineId, Record]]]) -> None:
         """Return what stays empty, beyond what was in use at once lately and a spare part."""
         now = self.cx.now
         demand = sum(load.used + sum(n.size.cpus * n.count for n in load.needs)
@@ -535,7 +630,8 @@
         while self._peaks and self._peaks[0][0] < now - window:
             self._peaks.popleft()
         keep = max(d for _, d in self._peaks) * self.cx.operators.headroom
-        capacity = sum(self._cpus_of(s) for s in self.shares.all())
+        capacity = sum(self._cpus.values())
+        largest = self._largest_tasks() if any(idle.values()) else {}
         for share in self.shares.all():
             for seconds, id, record in sorted(idle[share], key=lambda i: (i[2].spot, -i[0])):
                 type_ = self.fleet.types[record.type]
@@ -544,28 +640,32 @@
                     # A machine costs its boot again, and a minute at the least.
                     limit = min(max(60.0 - type_.boot_s, 0.5 * type_.boot_s), 45.0)
                 if (seconds > limit and capacity - type_.cpus >= keep
-                        and self._free_of(share) - type_.cpus >= self._largest_task(share)):
+                        and self._free_of(share) - type_.cpus >= largest.get(share, 0.0)):
                     capacity -= type_.cpus
+                    self._cpus[share] -= type_.cpus
                     self._ask_owner(share, {"t": "retire", "machine": id})
         if now >= self._drain_at and not any(idle.values()):
             self._drain(capacity, keep)
 
     def _free_of(self, share: ShareNo) -> float:
         load = self.loads.get(share)
-        return self._cpus_of(share) - (load.used if load else 0.0)
+        return self._cpus[share] - (load.used if load else 0.0)
 
-    def _largest_task(self, share: ShareNo) -> float:
+    def _largest_tasks(self) -> dict[ShareNo, float]:
         """Room that a share with open jobs keeps: without it, the next replica within its
         team's guarantee stops another team's."""
-        return max((job.size.cpus for job in self.fleet.jobs.open_jobs()
-                    if self.shares.of_team(Team(job.spec.team)) == share), default=0.0)
+        largest: dict[ShareNo, float] = {}
+        for job in self.fleet.jobs.open_jobs():
+            share = self.shares.of_team(Team(job.spec.team))
+            largest[share] = max(largest.get(share, 0.0), job.size.cpus)
+        return largest
 
     def _drain(self, capacity: float, keep: float) -> None:
         """Nothing is empty, yet there is more than is needed: have a share empty one more."""
         largest = max((t.cpus for t in self.fleet.types.values()), default=0.0)
         if capacity - 1.5 * largest < keep:
             return
-        slack = {s: self._cpus_of(s) - self.loads[s].used
+        slack = {s: self._cpus[s] - self.loads[s].used
                  for s in self.shares.all() if s in self.loads}
         if slack:
             share = max(slack, key=lambda s: slack[s])
@@ -641,21 +741,19 @@
         """A machine that is silent well beyond its reports is returned: once the cloud has
         answered, its tasks are nowhere and may start elsewhere before the lease is over."""
         now = self.cx.now
-        workers = self.cx.platform.settings.workers
-        # A worker cut off from here needs a lost report and a try elsewhere to be heard again
-        # by way of another node.
-        limit = max(2.5 * workers.report_s, 0.45 * workers.lease_s,
-                    min(REPORT_PATIENCE_S + 1.75 + 1.25 * workers.report_s, 0.7 * workers.lease_s))
+        limit = self.fleet.patience()
         for holding in self.shares.mine.values():
             if not self.shares.may_command(holding.number):
                 continue
             machines = self.fleet.of_share(holding.number)
             known = [m for m in machines if m.heard >= 0 or m.record.stamp <= holding.epoch]
-            silent = [m for m in known if now - max(m.heard, holding.since) > limit]
+            silent = [m for m in known if now - max(m.heard, holding.since) > limit
+                      or self.fleet.unreached_s(m) > limit]
             # If most are silent, it is rather this node that hears nothing.
             if not silent or 2 * len(silent) > len(known):
                 continue
             for m in silent:
                 if not m.record.leaving and not m.moving:
-                    self.cx.log("warning", f"machine {m.id}: silent, returned")
+                    why = "silent" if now - m.heard > limit else "heard, but not reached"
+                    self.cx.log("warning", f"machine {m.id}: {why}, returned")
                     self.change_record(m, leaving=True)
--- a/runcourse/core/scheduler.py
+++ b/runcourse/core/scheduler.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import heapq
 import math
 from typing import Any
 
@@ -17,7 +18,10 @@
 DRAIN_S = 45.0  # a machine that is not empty by then takes tasks again
 SETTLED_S = 35.0  # a replica that started lately is not moved
 RETRY_S = 0.25  # between turns while tasks wait for room
-FLUSH_GAP_S = 0.3  # between two stored changes of one job that do not complete it
+FLUSH_GAP_S = 1.0  # between two stored changes of one job that do not complete it
+RETRY_STORE_S = 0.3  # after a change that was not stored
+AGED_S = 120.0  # a job that has not begun by then goes first, or smaller ones pass it for ever
+WEIGHED_PER_S = 50_000.0  # machines weighed in a turn put the next one off by as much
 
 
 class Work:
@@ -29,7 +33,7 @@
     def __init__(self, job: Job, share: ShareNo) -> None:
         self.job = job
         self.share = share
-        self.pending: list[int] = []  # to be started, lowest index last
+        self.pending: dict[int, None] = {}  # to be started, the next one last
         self.zones: dict[str, int] = {}  # tasks placed per zone
         self.finished = 0  # bits of tasks that are done but not stored yet
         self.flushing = False
@@ -62,6 +66,8 @@
         self._draining: list[Machine] = []
         self._dirty = True
         self._next_turn = Instant(0.0)
+        self._finished: dict[JobId, Work] = {}  # with finishes that are not stored yet
+        self._weighed = 0
 
     # --- jobs ----------------------------------------------------------------------------
 
@@ -82,6 +88,7 @@
     def lose(self, share: ShareNo) -> None:
         for uid in [u for u, w in self.work.items() if w.share == share]:
             del self.work[uid]
+            self._finished.pop(uid, None)
         self.unmet.pop(share, None)
 
     def _open(self, job: Job, share: ShareNo) -> None:
@@ -89,13 +96,14 @@
         placed = {p.task.number for p in self.fleet.of_job(job.uid)}
         # As digits once: shifting a large bitmap for each of 100,000 tasks takes seconds.
         done = f"{job.done_bits:b}".rjust(job.spec.tasks, "0")
-        work.pending = [job.spec.tasks - 1 - n for n, bit in enumerate(done)
-                        if bit == "0" and job.spec.tasks - 1 - n not in placed]
+        work.pending = {job.spec.tasks - 1 - n: None for n, bit in enumerate(done)
+                        if bit == "0" and job.spec.tasks - 1 - n not in placed}
         self.work[job.uid] = work
         self._dirty = True
 
     def _close(self, job: Job) -> None:
         self.work.pop(job.uid, None)
+        self._finished.pop(job.uid, None)
         for placement in self.fleet.of_job(job.uid):
             self.fleet.stop(placement)
         self._dirty = True
@@ -108,10 +116,7 @@
         if work is not None:
             zone = placement.machine.record.zone
             work.zones[zone] = work.zones.get(zone, 0) + 1
-            if work.pending and work.pending[-1] == placement.task.number:
-                work.pending.pop()
-            elif placement.task.number in work.pending:
-                work.pending.remove(placement.task.number)
+            work.pending.pop(placement.task.number, None)
         elif placement.job is not None and placement.job.final:
             self.fleet.stop(placement)
 
@@ -133,6 +138,7 @@
         now = self.cx.now
         if why == "done" and not work.job.spec.service:
             work.finished |= 1 << index
+            self._finished[work.job.uid] = work
             machine.errors.clear()
         elif why == "error":
             self._failed(work, machine)
@@ -141,8 +147,8 @@
         elif why == "unknown":
             work.not_before = Instant(now + 1.0)
         if (not work.finished >> index & 1 and not work.job.is_done(index)
-                and placement.task not in self.fleet.where and index not in work.pending):
-            work.pending.append(index)
+                and placement.task not in self.fleet.where):
+            work.pending[index] = None
             if work.job.spec.gang:
                 # The mates can't go on without it: all start anew together.
                 for mate in self.fleet.of_job(work.job.uid):
@@ -175,8 +181,8 @@
 
     def flush(self) -> None:
         now = self.cx.now
-        for work in self.work.values():
-            if not work.finished or work.flushing or now < work.retry_at:
+        for work in list(self._finished.values()):
+            if work.flushing or now < work.retry_at:
                 continue
             job = work.job
             complete = (job.done_bits | work.finished).bit_count() >= job.spec.tasks
@@ -206,8 +212,10 @@
             work.flushing = False
             if result == "ok":
                 work.finished &= ~bits
+                if not work.finished and self._finished.get(job.uid) is work:
+                    del self._finished[job.uid]
             else:
-                work.retry_at = Instant(self.cx.now + FLUSH_GAP_S)
+                work.retry_at = Instant(self.cx.now + RETRY_STORE_S)
 
         self.store.commit(when, then, done)
 
@@ -220,18 +228,19 @@
         if not due or now < self._next_turn:
             return
         self._dirty = False
-        self._next_turn = Instant(now + 0.02)
+        self._weighed = 0
         for holding in list(self.shares.mine.values()):
             if self.shares.may_command(holding.number):
                 self._turn(holding)
             else:
                 self._dirty = True
+        self._next_turn = Instant(now + 0.02 + self._weighed / WEIGHED_PER_S)
 
     def _turn(self, holding: Holding) -> None:
         now = self.cx.now
         waiting = []
         for work in self.work.values():
-            if work.share != holding.number or not work.pending:
+            if not work.pending or work.share != holding.number:
                 continue
             if now < work.not_before:
                 work.waits = "backs off after failures"
@@ -240,38 +249,60 @@
                 work.waits = "share not settled"
             else:
                 waiting.append(work)
+        if not waiting:
+            self.unmet[holding.number] = []
+            return
         unlocated = self._unlocated(holding)
         waiting.sort(key=self._urgency)
-        machines = [m for m in self.fleet.of_share(holding.number) if self.fleet.usable(m)]
-        budget = self.cx.operators.turn_budget
+        usable = [m for m in self.fleet.of_share(holding.number) if self.fleet.usable(m)]
         claimed: set[MachineId] = set()
         unmet: list[tuple[Job, int, tuple[str, ...]]] = []
+        # Sizes that found no room in this turn: what is no smaller won't find any either.
+        full: dict[tuple[Any, ...], list[Size]] = {}
         for work in waiting:
-            pool = machines
-            if budget <= 0 and len(machines) > self.cx.operators.sample:
-                # More is asked than a turn can weigh: a random sample of machines.
-                pool = self.cx.rng.sample(machines, self.cx.operators.sample)
-            budget -= len(pool)
-            missing = self._fill(work, pool, claimed, unlocated)
+            spec, size = work.job.spec, work.job.size
+            kind = (spec.spot, spec.types, spec.zone)
+            missing = len(work.pending)
+            if any(small.fits(size) for small in full.get(kind, ())):
+                work.waits = "no machine with room"
+                if not spec.gang:
+                    self._make_room(work, usable, claimed, missing)
+            else:
+                fits = [m for m in usable if size.fits(m.room) and m.id not in claimed
+                        and self._permits(work.job, m)]
+                if not fits:
+                    full.setdefault(kind, []).append(size)
+                missing = self._fill(work, usable, fits, claimed, unlocated)
             if missing:
                 closed = tuple(z for z in sorted(work.zones) if not self._zone_open(work, z))
                 unmet.append((work.job, missing, closed))
         self.unmet[holding.number] = unmet
 
+    def _sample(self, machines: list[Machine], least: int = 0) -> list[Machine]:
+        """All machines while a turn's budget lasts; then, as more is asked than a turn can
+        weigh, a random sample."""
+        most = max(self.cx.operators.sample, least)
+        if self._weighed >= self.cx.operators.turn_budget and len(machines) > most:
+            machines = self.cx.rng.sample(machines, most)
+        self._weighed += len(machines)
+        return machines
+
     def _urgency(self, work: Work) -> tuple[bool, int, int, float, str]:
         """Guarantees, rank, then the nearest deadline among those that can still be kept: a job
         that will be late anyway must not make the next one late too."""
         job = work.job
         spec = job.spec
         tier, due = 0, math.inf
+        begun = bool(job.done_bits or work.finished or any(work.zones.values()))
         if spec.deadline_s:
             due = job.submitted + spec.deadline_s
             left = spec.estimate_s
-            begun = job.done_bits or work.finished or any(work.zones.values())
             for times in self._lateness.get(spec.lane, (1.0,)):
                 if begun or self.cx.now + left <= job.submitted + times * spec.deadline_s:
                     break
                 tier += 1
+        if self.cx.now > job.submitted + AGED_S and not begun:
+            return (False, -1, 0, job.submitted, job.uid)
         return (not self.quota.guaranteed(job), spec.rank, tier, due, job.uid)
 
     def _unlocated(self, holding: Holding) -> dict[Team, Size]:
@@ -328,20 +359,21 @@
         dear = 0.0 if machine.record.spot or machine.lasting > 0 or job.spec.service else 0.3
         return lasting + 0.2 * machine.used.cpus / cpus - dear
 
-    def _fill(self, work: Work, machines: list[Machine], claimed: set[MachineId],
-              unlocated: dict[Team, Size]) -> int:
-        """Start what fits; returns how many tasks found no machine."""
+    def _fill(self, work: Work, usable: list[Machine], fits: list[Machine],
+              claimed: set[MachineId], unlocated: dict[Team, Size]) -> int:
+        """Start what fits; returns how many tasks found no machine. `fits` are the machines
+        that have room for one task at the least."""
         job = work.job
         size = job.size
-        team = Team(job.spec.team)
-        extra = unlocated.get(team, NOTHING)
+        extra = unlocated.get(Team(job.spec.team), NOTHING)
         now = self.cx.now
-        scored: list[list[Any]] = [
-            [self._score(job, m), m] for m in machines
-            if m.id not in claimed and self._permits(job, m) and size.fits(m.room)
-        ]
         work.waits = ""
-        attempt = machines[0].share.next_attempt() if machines else None
+        if not self.quota.allows(job, extra):
+            work.waits = "team limit"
+            return 0
+        pool = self._sample(fits, len(work.pending))
+        scored = [(-self._score(job, m), n, m) for n, m in enumerate(pool)]
+        attempt = usable[0].share.next_attempt() if usable else None
         if job.spec.gang:
             # Mates know each other by their common attempt, so a gang starts as a whole.
             if any(work.zones.values()):
@@ -350,20 +382,21 @@
             if not self._gang_fits(work, scored, extra):
                 work.waits = "no room for the whole gang"
                 return len(work.pending)
+        heapq.heapify(scored)
         while work.pending:
             if not self.quota.allows(job, extra):
                 work.waits = "team limit"
                 return 0
-            task = TaskId(job.uid, work.pending[-1])
-            best: list[Any] | None = None
-            for entry in scored:
-                if ((best is None or entry[0] > best[0])
-                        and self._zone_open(work, entry[1].record.zone)
-                        and not entry[1].holds(task)):
-                    best = entry
-            if best is None:
+            task = TaskId(job.uid, next(reversed(work.pending)))
+            aside = []
+            while scored and not (self._zone_open(work, scored[0][2].record.zone)
+                                  and not scored[0][2].holds(task)):
+                entry = heapq.heappop(scored)
+                if self._zone_open(work, entry[2].record.zone):
+                    aside.append(entry)  # holds a former attempt of this task only
+            if not scored:
                 break
-            machine: Machine = best[1]
+            _, n, machine = scored[0]
             if not job.spec.gang:
                 attempt = machine.share.next_attempt()
             assert attempt is not None
@@ -371,16 +404,19 @@
             self.cx.log("debug", f"{task} placed on {machine.id}, {now - job.submitted:.2f} s"
                                  " after its job")
             if size.fits(machine.room):
-                best[0] = self._score(job, machine)
+                heapq.heapreplace(scored, (-self._score(job, machine), n, machine))
             else:
-                scored.remove(best)
+                heapq.heappop(scored)
+            for entry in aside:
+                heapq.heappush(scored, entry)
         missing = len(work.pending)
         if missing:
             work.waits = "no machine with room"
-            self._make_room(work, machines, claimed, missing)
+            self._make_room(work, usable, claimed, missing)
         return missing
 
-    def _gang_fits(self, work: Work, scored: list[list[Any]], extra: Size) -> bool:
+    def _gang_fits(self, work: Work, scored: list[tuple[float, int, Machine]],
+                   extra: Size) -> bool:
         """A gang starts only when all of its tasks that wait fit at once."""
         job = work.job
         n = len(work.pending)
@@ -388,7 +424,7 @@
         if not self.quota.allows(job, extra.plus(size)):
             return False
         zones: dict[str, int] = {}
-        for _, machine in scored:
+        for _, _, machine in scored:
             zone = machine.record.zone
             if self._zone_open(work, zone):
                 zones[zone] = zones.get(zone, 0) + fits_times(job.size, machine.room)
@@ -399,7 +435,7 @@
             return sum(zones.values()) >= n
         # All in one zone: only machines of a zone that has room for all of them count.
         fitting = {z for z, k in zones.items() if k >= n}
-        scored[:] = [entry for entry in scored if entry[1].record.zone in fitting]
+        scored[:] = [entry for entry in scored if entry[2].record.zone in fitting]
         return bool(fitting)
 
     def _make_room(self, work: Work, machines: list[Machine], claimed: set[MachineId],
@@ -410,33 +446,44 @@
         below its own: else two teams would stop each other's tasks in turn.
         """
         job = work.job
-        now = self.cx.now
         guaranteed = self.quota.guaranteed_count(job)
+        if not self.quota.could_stop(job, guaranteed > 0):
+            return
         stopping: dict[Team, Size] = {}
         for placement in self.fleet.placements(work.share):
             if placement.active and placement.stopping and placement.job is not None:
                 team = Team(placement.job.spec.team)
                 stopping[team] = stopping.get(team, NOTHING).plus(placement.size)
-        while missing > 0:
-            best: tuple[float, str, Machine, list[Placement]] | None = None
-            for machine in machines:
-                if (machine.id in claimed or not self._permits(job, machine)
-                        or not self._zone_open(work, machine.record.zone)):
-                    continue
-                victims = self._victims(job, machine, guaranteed > 0, stopping)
-                if victims is None:
-                    continue
-                cost = sum(self._loss(v, now) for v in victims)
-                if job.spec.service:
-                    cost += self._fetch_s(job, machine)
-                if best is None or (cost, machine.id) < best[:2]:
-                    best = (cost, machine.id, machine, victims)
-            if best is None:
-                return
+
+        def cost(machine: Machine) -> tuple[float, list[Placement]] | None:
+            if not self._zone_open(work, machine.record.zone):
+                return None
+            victims = self._victims(job, machine, guaranteed > 0, stopping)
+            if victims is None:
+                return None
+            lost = sum(self._loss(v, self.cx.now) for v in victims)
+            return lost + (self._fetch_s(job, machine) if job.spec.service else 0.0), victims
+
+        candidates: list[tuple[float, str, Machine]] = []
+        for machine in self._sample([m for m in machines if m.id not in claimed
+                                     and self._permits(job, m)], 4 * missing):
+            found = cost(machine)
+            if found is not None:
+                candidates.append((found[0], machine.id, machine))
+        heapq.heapify(candidates)
+        while missing > 0 and candidates:
+            before, _, machine = heapq.heappop(candidates)
+            # What was stopped since may have changed what may be stopped here.
+            found = cost(machine)
+            if found is None:
+                continue
+            if found[0] > before:
+                heapq.heappush(candidates, (found[0], machine.id, machine))
+                continue
             missing -= 1
             guaranteed -= 1
-            claimed.add(best[2].id)
-            for victim in best[3]:
+            claimed.add(machine.id)
+            for victim in found[1]:
                 assert victim.job is not None
                 team = Team(victim.job.spec.team)
                 stopping[team] = stopping.get(team, NOTHING).plus(victim.size)
@@ -468,15 +515,21 @@
 
     def _fetch_s(self, job: Job, machine: Machine) -> float:
         """Seconds until the machine holds the job's image: fetches under way share its rate."""
-        if job.spec.image in machine.images or machine.type is None:
+        image = job.spec.image
+        if image in machine.images or machine.type is None:
             return 0.0
-        fetching = {job.spec.image: job.spec.image_gb}
-        for placement in machine.placements.values():
-            if placement.stage in ("sent", "fetching") and placement.job is not None:
-                other = placement.job.spec
-                if other.image not in machine.images:
-                    fetching[other.image] = other.image_gb
-        return sum(fetching.values()) / (machine.type.fetch_gb_per_s or 1.0)
+        fetching = machine.fetches
+        if fetching is None:
+            fetching = machine.fetches = {}
+            for placement in machine.placements.values():
+                if placement.stage in ("sent", "fetching") and placement.job is not None:
+                    other = placement.job.spec
+                    if other.image not in machine.images:
+                        fetching[other.image] = other.image_gb
+        gb = sum(fetching.values())
+        if image not in fetching:
+            gb += job.spec.image_gb
+        return gb / (machine.type.fetch_gb_per_s or 1.0)
 
     def _loss(self, placement: Placement, now: Instant) -> float:
         if placement.stage != "running" or placement.job is None:
--- a/runcourse/core/shares.py
+++ b/runcourse/core/shares.py
@@ -24,7 +24,7 @@
     Team,
     make_attempt,
 )
-from .store import LIVE, SHARE, Store
+from .store import LIVE, MAPPING, SHARE, Store
 
 HANDBACK_AFTER_S = 6.0  # a returned home node must have been up this long
 
@@ -57,15 +57,42 @@
         self._on_gain = on_gain
         self._on_loss = on_loss
         self._taking: set[ShareNo] = set()
+        self._dealt: dict[Team, ShareNo] = {}
         self._gone_since: dict[ShareNo, Instant] = {}
         self._home_since: dict[Member, tuple[Incarnation, Instant]] = {}
         store.listen(SHARE, self._changed)
+        store.listen(MAPPING, self._mapping_changed)
 
     def all(self) -> list[ShareNo]:
         return [ShareNo(n) for n in range(len(self.cx.members))]
 
+    # --- teams to shares -----------------------------------------------------------------
+
     def of_team(self, team: Team) -> ShareNo:
-        return ShareNo(zlib.crc32(team.encode()) % len(self.cx.members))
+        """The names in the store were dealt round the shares: evenly, where a hash of few
+        names leaves some shares with many and some with none. Any other name is hashed."""
+        share = self._dealt.get(team)
+        return ShareNo(zlib.crc32(team.encode()) % len(self.cx.members)) if share is None else share
+
+    def _mapping_changed(self, key: str, value: Any, stamp: Stamp) -> None:
+        names = value["dealt"] if value else ()
+        self._dealt = {Team(str(name)): ShareNo(n % len(self.cx.members))
+                       for n, name in enumerate(names)}
+
+    def _mapping(self) -> tuple[list[tuple[str, int]], list[tuple[str, Any, int | None]]]:
+        """Conditions and change with which the first share taken fixes the dealing: a team
+        must have one share only, whatever settings a node was started with later. A store
+        whose shares were taken without one goes on with hashes."""
+        if self.store.get(MAPPING) is not None:
+            return [(MAPPING, int(self.store.stamp(MAPPING)))], []
+        if any(self.owner(share) is not None for share in self.all()):
+            return [(MAPPING, ABSENT)], []
+        names = sorted(team.name for team in self.cx.platform.settings.teams)
+        if sum(len(name) + 4 for name in names) > self.cx.platform.settings.state.value_kb * 900:
+            names = []  # more than a value holds: hashes for all
+        return [(MAPPING, ABSENT)], [(MAPPING, {"dealt": names}, None)]
+
+    # --- owners --------------------------------------------------------------------------
 
     def key(self, share: ShareNo) -> str:
         return f"{SHARE}{share}"
@@ -126,13 +153,15 @@
             return
         self._taking.add(share)
         key = self.key(share)
+        fixed, fixing = self._mapping()
         when = [
+            *fixed,
             (key, self.store.stamp(key)),
             (LIVE + self.cx.me, self.store.stamp(LIVE + self.cx.me)),
             *conditions,
         ]
         value = {"owner": self.cx.me, "inc": self.authority.inc}
-        self.store.commit(when, [(key, value, None)],
+        self.store.commit(when, [*fixing, (key, value, None)],
                           lambda result, stamp: self._taking.discard(share), Store.URGENT)
 
     def tick(self) -> None:
--- a/runcourse/core/store.py
+++ b/runcourse/core/store.py
@@ -20,11 +20,14 @@
 LIVE = ROOT + "live/"
 LEADER = ROOT + "leader"
 SHARE = ROOT + "share/"
+MAPPING = ROOT + "mapping"
 MACHINE = ROOT + "machine/"
 JOB = ROOT + "job/"
 DONE = ROOT + "done/"
 CATALOG = ROOT + "catalog"
 
+TRIES = 4  # of a change that the state service has no time for
+
 Listener = Callable[[str, Any, Stamp], None]
 Waiter = Callable[[bool], None]
 Result = Callable[[str, Stamp], None]  # ok, conflict, refused, unknown, nolease; and the stamp
@@ -75,9 +78,11 @@
         nodes = len(cx.members)
         state = cx.platform.settings.state
         self._gap = nodes / (0.4 * state.rps)
-        share = state.write_rps / nodes
-        self._writes = Bucket(share * 0.95, max(share, 4.0))
+        self._share = 0.95 * state.write_rps / nodes
+        self._writes = Bucket(self._share, max(self._share, 4.0))
         self._paused_until = LONG_AGO
+        self._raised_at = LONG_AGO
+        self._queued = 0  # changes in the queue
 
     # --- copy ----------------------------------------------------------------------------
 
@@ -179,11 +184,11 @@
     @property
     def backlog(self) -> float:
         """Seconds that a change asked for now would wait at the least."""
-        return sum(len(c.then) for _, _, c in self._queue) / self._writes.rate
+        return self._queued / self._writes.rate
 
     def commit(self, when: list[tuple[str, int]], then: list[Put], result: Result,
                urgency: int = OWNER) -> None:
-        def done(outcome: Outcome) -> None:
+        def done(outcome: Outcome, tries: int) -> None:
             status = outcome.status
             if status == 200:
                 stamp = Stamp(int(outcome.body))
@@ -201,25 +206,43 @@
                 self.note_contact(False, status, Instant(outcome.began))
                 if status == 429:
                     self._paused_until = Instant(self.cx.now + 0.1)
+                    self._writes.rate = max(self._share, 0.7 * self._writes.rate)
+                    # Surely not executed: waiting a moment costs less than a user's retry.
+                    if tries < TRIES:
+                        push(tries + 1)
+                        return
                 result("refused", ABSENT)
             else:
                 self.note_contact(False, status, Instant(outcome.began))
                 self.sync()
                 result("unknown", ABSENT)
 
-        commit = Commit(done, when, then)
-        heapq.heappush(self._queue, (urgency, next(self._order), commit))
-        self._flush()
+        def push(tries: int) -> None:
+            commit = Commit(lambda outcome: done(outcome, tries), when, then)
+            heapq.heappush(self._queue, (urgency, next(self._order), commit))
+            self._queued += len(then)
+            self._flush()
+
+        push(1)
 
     def _flush(self) -> None:
         now = self.cx.now
         while self._queue:
             urgency, _, commit = self._queue[0]
             if urgency != self.URGENT:
-                if now < self._paused_until or self._writes.wait(now, len(commit.then)) > 0:
+                if now < self._paused_until:
+                    return
+                if self._writes.wait(now, len(commit.then)) > 0:
+                    # The other nodes seldom use all of their parts: ask for more, until the
+                    # state service says that it is too much.
+                    most = 0.9 * self.cx.platform.settings.state.write_rps
+                    step = 0.5 * self._share * min(now - self._raised_at, 0.2)
+                    self._writes.rate = min(most, self._writes.rate + step)
+                    self._raised_at = now
                     return
             else:
                 self._writes.refill(now)
                 self._writes.level -= len(commit.then)
             heapq.heappop(self._queue)
+            self._queued -= len(commit.then)
             self.cx.out.append(commit)
--- a/runcourse/core/types.py
+++ b/runcourse/core/types.py
@@ -179,6 +179,13 @@
     orders: tuple[Order, ...]
 
 
+class Probe(msgspec.Struct):
+    """Ask a worker for its report: unlike a report that arrives, the answer is live."""
+
+    tag: Any
+    addr: str
+
+
 class ReadCatalog(msgspec.Struct):
     tag: Any
 
--- a/runcourse/daemon.py
+++ b/runcourse/daemon.py
@@ -39,11 +39,12 @@
         self._state = StateService(*address(platform.services.state, "services.state"))
         self._cloud = Cloud(*address(platform.services.cloud, "services.cloud"),
                             platform.settings.cloud.rps)
-        self._workers = Workers()
+        # Sockets are scarce: the rest is for users, workers' reports and the outside systems.
+        self._workers = Workers(max(16, int(platform.settings.quota.fd_limit * 0.25)))
         peers = {Member(p.member): address(p.addr, "peers") for p in platform.peers}
         self._links = PeerLinks(Member(platform.member), peers, self._heard, self._operators_ask,
                                 Server(self._serve_internal, 8))
-        limit = max(16, int(platform.settings.quota.fd_limit * 0.7))
+        limit = max(16, int(platform.settings.quota.fd_limit * 0.65))
         self._server = Server(self._serve, limit)
         self._requests = 0
         self._answers: dict[int, asyncio.Future[Any]] = {}
@@ -97,6 +98,8 @@
                 self._start(effect.tag, self._state.extend(effect.grant))
             case t.Command():
                 self._start(effect.tag, self._workers.command(effect))
+            case t.Probe():
+                self._start(effect.tag, self._workers.status(effect.addr))
             case t.ReadCatalog():
                 self._start(effect.tag, self._cloud.catalog())
             case t.ListMachines():
--- a/runcourse/net/clients.py
+++ b/runcourse/net/clients.py
@@ -19,7 +19,6 @@
 RENEW_S = 1.0
 CLOUD_S = 8.0
 COMMAND_S = 2.0
-MAX_WORKER_CLIENTS = 256
 PAGE = 1000
 
 Result = tuple[int, Any, bool]
@@ -143,20 +142,33 @@
 
 
 class Workers(Caller):
-    def __init__(self) -> None:
+    def __init__(self, max_clients: int) -> None:
         super().__init__()
+        self._max = max_clients
         self._clients: OrderedDict[str, Client] = OrderedDict()
 
     async def command(self, effect: t.Command) -> Result:
-        client = self._clients.get(effect.addr)
+        client = self._client(effect.addr)
         if client is None:
-            host, _, port = effect.addr.rpartition(":")
-            if not host or not port.isdigit():
-                return 0, None, False
-            client = self._clients[effect.addr] = Client(host, int(port), limit=1)
-            while len(self._clients) > MAX_WORKER_CLIENTS:
-                self._clients.popitem(last=False)[1].close()
-        self._clients.move_to_end(effect.addr)
+            return 0, None, False
         return await self.call(client, "POST", "/do",
                                wire.commands(effect.token, effect.session, effect.orders),
                                COMMAND_S, wire.report, also=(409,))
+
+    async def status(self, addr: str) -> Result:
+        client = self._client(addr)
+        if client is None:
+            return 0, None, False
+        return await self.call(client, "GET", "/status", None, COMMAND_S, wire.report)
+
+    def _client(self, addr: str) -> Client | None:
+        client = self._clients.get(addr)
+        if client is None:
+            host, _, port = addr.rpartition(":")
+            if not host or not port.isdigit():
+                return None
+            client = self._clients[addr] = Client(host, int(port), limit=1)
+            while len(self._clients) > self._max:
+                self._clients.popitem(last=False)[1].close()
+        self._clients.move_to_end(addr)
+        return client
--- a/runcourse/net/metrics.py
+++ b/runcourse/net/metrics.py
@@ -41,7 +41,7 @@
         for name, text, value in plain:
             yield GaugeMetricFamily(name, text, value=float(value))
         jobs = GaugeMetricFamily("runcourse_jobs", "jobs known", labels=["stage"])
-        open_jobs = sum(1 for _ in node.jobs.open_jobs())
+        open_jobs = len(node.jobs.open_jobs())
         jobs.add_metric(["open"], open_jobs)
         jobs.add_metric(["ended"], len(node.jobs) - open_jobs)
         yield jobs
--- a/tests/world.py
+++ b/tests/world.py
@@ -350,6 +350,8 @@
                 self._to_state(member, effect, back)
             case t.Command():
                 self._to_worker(member, effect, back)
+            case t.Probe():
+                self._probe(member, effect, back)
             case t.ReadCatalog():
                 self.after(self._latency(), lambda: back(200, (TYPE,)))
             case t.ListMachines():
@@ -423,6 +425,20 @@
 
         self.after(self._latency(), arrive)
 
+    def _probe(self, member: str, effect: t.Probe, back: Callable[..., None]) -> None:
+        id = effect.addr.partition(":")[0]
+
+        def arrive() -> None:
+            worker = self.workers.get(id)
+            if (worker is None or not worker.alive or worker.hung
+                    or not self.reachable(member, id)):
+                self.after(2.0, lambda: back(0))
+            else:
+                worker.step()
+                self.after(self._latency(), lambda: back(200, worker.report()))
+
+        self.after(self._latency(), arrive)
+
     def deliver_held(self) -> None:
         """What a cut, a loss or a hanging machine held back arrives now."""
         held, self.held = self.held, []
