--- a/runcourse/core/machines.py
+++ b/runcourse/core/machines.py
@@ -195,6 +195,8 @@
 
     def lifted(self, placement: Placement) -> None: ...
 
+    def stopped(self, placement: Placement) -> None: ...
+
     def gone(self, placement: Placement, why: str) -> None: ...
 
     def running(self, placement: Placement) -> None: ...
@@ -385,7 +387,9 @@
         if not placement.active or (placement.stopping and grace_s >= placement.grace_s):
             return
         placement.forced = placement.stopping  # a second order ends the saving
-        placement.stopping = True
+        if not placement.stopping:
+            placement.stopping = True
+            self.watcher.stopped(placement)
         placement.grace_s = grace_s
         if not placement.seen and not placement.fence:
             # An order to start it may be under way, and a stop before it has no effect:
--- a/runcourse/core/quota.py
+++ b/runcourse/core/quota.py
@@ -31,6 +31,7 @@
         }
         self._held: dict[Team, Size] = {}
         self._ranks: dict[int, int] = {}  # placements by rank
+        self.stopping: dict[Team, Size] = {}  # of what is held, what was told to stop
 
     def held(self, team: Team) -> Size:
         return self._held.get(team, NOTHING)
@@ -41,12 +42,21 @@
             self._held[team] = self.held(team).plus(placement.size)
             rank = placement.job.spec.rank
             self._ranks[rank] = self._ranks.get(rank, 0) + 1
+            if placement.stopping:
+                self.stops(placement)
+
+    def stops(self, placement: Placement) -> None:
+        if placement.job is not None:
+            team = Team(placement.job.spec.team)
+            self.stopping[team] = self.stopping.get(team, NOTHING).plus(placement.size)
 
     def remove(self, placement: Placement) -> None:
         if placement.job is not None:
             team = Team(placement.job.spec.team)
             self._held[team] = self.held(team).minus(placement.size)
             self._ranks[placement.job.spec.rank] -= 1
+            if placement.stopping:
+                self.stopping[team] = self.stopping[team].minus(placement.size)
 
     def refuses(self, job: Job) -> str | None:
         """Why the job can never run within its team's limit, if so."""
--- a/runcourse/core/scheduler.py
+++ b/runcourse/core/scheduler.py
@@ -127,6 +127,9 @@
             zone = placement.machine.record.zone
             work.zones[zone] = work.zones.get(zone, 0) - 1
 
+    def stopped(self, placement: Placement) -> None:
+        self.quota.stops(placement)
+
     def gone(self, placement: Placement, why: str) -> None:
         """The attempt is over, whatever the reason."""
         self._dirty = True
@@ -449,11 +452,7 @@
         guaranteed = self.quota.guaranteed_count(job)
         if not self.quota.could_stop(job, guaranteed > 0):
             return
-        stopping: dict[Team, Size] = {}
-        for placement in self.fleet.placements(work.share):
-            if placement.active and placement.stopping and placement.job is not None:
-                team = Team(placement.job.spec.team)
-                stopping[team] = stopping.get(team, NOTHING).plus(placement.size)
+        stopping = self.quota.stopping
 
         def cost(machine: Machine) -> tuple[float, list[Placement]] | None:
             if not self._zone_open(work, machine.record.zone):
@@ -484,9 +483,6 @@
             guaranteed -= 1
             claimed.add(machine.id)
             for victim in found[1]:
-                assert victim.job is not None
-                team = Team(victim.job.spec.team)
-                stopping[team] = stopping.get(team, NOTHING).plus(victim.size)
                 self.cx.log("info", f"{victim.task} stopped for {job.uid}")
                 self.fleet.stop(victim, self._grace(victim))
 
