--- a/runcourse/core/scheduler.py
+++ b/runcourse/core/scheduler.py
@@ -68,6 +68,8 @@
         self._next_turn = Instant(0.0)
         self._finished: dict[JobId, Work] = {}  # with finishes that are not stored yet
         self._weighed = 0
+        # Sizes for which, in this turn, nothing could be stopped to make room; by who asks.
+        self._hopeless: dict[tuple[Any, ...], list[Size]] = {}
 
     # --- jobs ----------------------------------------------------------------------------
 
@@ -232,6 +234,7 @@
             return
         self._dirty = False
         self._weighed = 0
+        self._hopeless.clear()
         for holding in list(self.shares.mine.values()):
             if self.shares.may_command(holding.number):
                 self._turn(holding)
@@ -452,6 +455,11 @@
         guaranteed = self.quota.guaranteed_count(job)
         if not self.quota.could_stop(job, guaranteed > 0):
             return
+        spec = job.spec
+        asks = (spec.rank, spec.spot, spec.types, spec.zone, spec.team if guaranteed > 0 else "",
+                tuple(z for z in work.zones if not self._zone_open(work, z)))
+        if any(size.fits(job.size) for size in self._hopeless.get(asks, ())):
+            return
         stopping = self.quota.stopping
 
         def cost(machine: Machine) -> tuple[float, list[Placement]] | None:
@@ -469,6 +477,8 @@
             found = cost(machine)
             if found is not None:
                 candidates.append((found[0], machine.id, machine))
+        if not candidates:
+            self._hopeless.setdefault(asks, []).append(job.size)
         heapq.heapify(candidates)
         while missing > 0 and candidates:
             before, _, machine = heapq.heappop(candidates)
