--- a/runcourse/core/machines.py
+++ b/runcourse/core/machines.py
@@ -188,7 +188,10 @@
     @property
     def busy(self) -> bool:
         """Something is on it, or may be, or may yet come to be."""
-        return bool(self.placements) or self.do_open or self.doubted or not self.settled
+        # One that was never heard holds nothing: it must be possible to return what never came
+        # up, or it is paid for ever.
+        return (bool(self.placements) or self.do_open or not self.settled
+                or (self.doubted and self.heard >= 0))
 
 
 class Watcher(Protocol):
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -261,3 +261,16 @@
     counts = [machines.count(s) for s in shares]
     assert len(machines) == 9 and min(counts) >= 1
     assert counts[-1] == max(counts) > min(counts), "more teams, more machines"
+
+
+def test_a_machine_that_never_comes_up_is_returned() -> None:
+    """It was asked for again and again, and paid for: nothing had shown it to be reachable."""
+    world = World(machines=0)
+    world.capacity = 2
+    world.run(2.0)
+    world.submit(spec("j-000090", tasks=1))
+    world.until(lambda: len(world.workers) == 1, 10)
+    stuck = next(iter(world.workers.values()))
+    stuck.alive = False
+    world.until(lambda: stuck.id not in world.workers, 20)
+    world.until(lambda: world.poll("j-000090") == "done", 30)
--- a/tests/test_troubles.py
+++ b/tests/test_troubles.py
@@ -146,7 +146,8 @@
     node, machine = owner_of(world, next(iter(world.workers)))
     world.deaf.add(machine.id)
     node.fleet.doubt(machine)
-    world.run(3.0)
+    world.run(0.9)
+    assert node.fleet.silent_s(machine) < 1.3
     assert not node.fleet.usable(machine), "heard is not reached"
     world.deaf.clear()
     world.until(lambda: node.fleet.usable(machine), 8)
