Gather by the share's replicas, drain by eighths, settle by what can hide what

A machine may now hold up to a tenth of its share's replicas, if that is more than half of it. Drain: one machine in 4 s lasts minutes at this size; an eighth of the surplus at once. Work waits only for machines that may hold it.

--- a/runcourse/core/rental.py
+++ b/runcourse/core/rental.py
@@ -671,7 +671,9 @@
             share = max(slack, key=lambda s: slack[s])
             if slack[share] > 1.25 * largest:
                 self._drain_at = Instant(self.cx.now + 4.0)
-                self._ask_owner(share, {"t": "drain", "share": share})
+                # A large surplus would last for many such steps: an eighth of it at once.
+                number = max(1, int((capacity - keep) / largest / 8))
+                self._ask_owner(share, {"t": "drain", "share": share, "n": number})
 
     # --- what the leader asks of owners --------------------------------------------------
 
@@ -682,7 +684,7 @@
         if message["t"] == "drain":
             share = ShareNo(int(message["share"]))
             if self.shares.may_command(share):
-                self.scheduler.drain(share)
+                self.scheduler.drain(share, int(message["n"]))
             return
         machine = self.fleet.machines.get(MachineId(str(message["machine"])))
         if (machine is None or machine.busy or machine.moving or machine.record.leaving
--- a/runcourse/core/scheduler.py
+++ b/runcourse/core/scheduler.py
@@ -21,6 +21,7 @@
 FLUSH_GAP_S = 1.0  # between two stored changes of one job that do not complete it
 RETRY_STORE_S = 0.3  # after a change that was not stored
 AGED_S = 120.0  # a job that has not begun by then goes first, or smaller ones pass it for ever
+AT_RISK = 0.1  # part of a share's replicas, by CPUs, that may gather on one machine
 WEIGHED_PER_S = 50_000.0  # machines weighed in a turn put the next one off by as much
 
 
@@ -68,6 +69,7 @@
         self._next_turn = Instant(0.0)
         self._finished: dict[JobId, Work] = {}  # with finishes that are not stored yet
         self._weighed = 0
+        self._lasting = 0.0  # CPUs of services in the share whose turn it is
         # Sizes for which, in this turn, nothing could be stopped to make room; by who asks.
         self._hopeless: dict[tuple[Any, ...], list[Size]] = {}
 
@@ -245,22 +247,24 @@
     def _turn(self, holding: Holding) -> None:
         now = self.cx.now
         waiting = []
+        hidden = self._hidden(holding)
         for work in self.work.values():
             if not work.pending or work.share != holding.number:
                 continue
             if now < work.not_before:
                 work.waits = "backs off after failures"
                 self._dirty = True
-            elif not holding.settled and work.job.accepted <= holding.epoch:
+            elif self._may_hide(work.job, holding, hidden):
                 work.waits = "share not settled"
             else:
                 waiting.append(work)
         if not waiting:
             self.unmet[holding.number] = []
             return
-        unlocated = self._unlocated(holding)
+        unlocated = self._unlocated(holding, hidden)
         waiting.sort(key=self._urgency)
         usable = [m for m in self.fleet.of_share(holding.number) if self.fleet.usable(m)]
+        self._lasting = sum(m.lasting for m in usable)
         claimed: set[MachineId] = set()
         unmet: list[tuple[Job, int, tuple[str, ...]]] = []
         # Sizes that found no room in this turn: what is no smaller won't find any either.
@@ -311,14 +315,30 @@
             return (False, -1, 0, job.submitted, job.uid)
         return (not self.quota.guaranteed(job), spec.rank, tier, due, job.uid)
 
-    def _unlocated(self, holding: Holding) -> dict[Team, Size]:
-        """Tasks that an earlier owner may have started on machines not heard of yet."""
+    def _hidden(self, holding: Holding) -> list[Machine]:
+        """One machine of each kind and place among those that may hold unknown tasks."""
         if holding.settled:
+            return []
+        kinds = {(m.record.type, m.record.zone, m.record.spot): m
+                 for m in self.fleet.of_share(holding.number) if not m.settled}
+        return list(kinds.values())
+
+    def _may_hide(self, job: Job, holding: Holding, hidden: list[Machine]) -> bool:
+        """May an earlier owner have started tasks of the job that aren't located yet? Only on
+        machines where they are allowed and fit: the others need not be waited for."""
+        return job.accepted <= holding.epoch and any(
+            self._permits(job, m) and (m.type is None or job.size.fits(m.type.size))
+            for m in hidden)
+
+    def _unlocated(self, holding: Holding, hidden: list[Machine]) -> dict[Team, Size]:
+        """Tasks that an earlier owner may have started on machines not heard of yet."""
+        if not hidden:
             return {}
         found: dict[Team, Size] = {}
         for work in self.work.values():
             job = work.job
-            if work.share == holding.number and job.accepted <= holding.epoch and work.pending:
+            if (work.pending and work.share == holding.number
+                    and self._may_hide(job, holding, hidden)):
                 team = Team(job.spec.team)
                 n = len(work.pending)
                 size = Size(job.size.cpus * n, job.size.memory * n, job.size.gpus * n)
@@ -355,12 +375,14 @@
         """Extension: gather what lasts on few machines, and fill those
         first, so that the others fall empty and can be returned. The progress score alone
         scatters tasks that all lean one way, since it favours the lighter machine. Replicas
-        gather up to half of a machine only: its loss would take them all at once."""
+        gather only up to a part of a machine, since its loss takes them all at once: to half
+        of it where they are few, further where it holds a small part of the share's."""
         assert machine.type is not None
         cpus = max(machine.type.cpus, 1e-6)
         lasting = machine.lasting / cpus
-        if job.spec.service and lasting >= 0.5:
-            lasting = 0.5 - lasting
+        most = max(0.5, min(0.9, AT_RISK * self._lasting / cpus))
+        if job.spec.service and lasting >= most:
+            lasting = most - lasting
         # What may use cheap machines fills the dear ones only where they stay anyway.
         dear = 0.0 if machine.record.spot or machine.lasting > 0 or job.spec.service else 0.3
         return lasting + 0.2 * machine.used.cpus / cpus - dear
@@ -558,13 +580,12 @@
             return False
         return here == there or (self._zone_open(work, there) and not work.job.spec.together)
 
-    def drain(self, share: ShareNo) -> None:
-        """Empty the machine of the share that holds the fewest replicas: nothing new goes
+    def drain(self, share: ShareNo, number: int) -> None:
+        """Empty the machines of the share that hold the fewest replicas: nothing new goes
         there, and once only replicas are left they move."""
-        machines = [m for m in self.fleet.of_share(share) if self.fleet.usable(m)]
-        lasting = [m for m in machines if m.lasting > 0]
-        if len(lasting) >= 2:
-            machine = min(lasting, key=lambda m: (m.lasting, m.id))
+        lasting = [m for m in self.fleet.of_share(share) if self.fleet.usable(m) and m.lasting > 0]
+        lasting.sort(key=lambda m: (m.lasting, m.id))
+        for machine in lasting[:min(number, len(lasting) - 1)]:
             machine.draining_until = Instant(self.cx.now + DRAIN_S)
             self._draining.append(machine)
 
--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -113,6 +113,8 @@
                    if h.number == node.shares.of_team("team-0"))  # type: ignore[arg-type]
     # As after a takeover: nothing is located yet.
     holding.settled = False
+    hiding = node.fleet.of_share(holding.number)[-1]
+    hiding.settled = False
     work = next(iter(node.scheduler.work.values()))
     work.pending = {1: None, 0: None}
     work.job.accepted = holding.epoch
@@ -124,7 +126,10 @@
     node.scheduler.work[later.uid].pending = {0: None}
     node.scheduler._turn(holding)
     assert TaskId(later.uid, 0) not in node.fleet.where
-    holding.settled = True
+    # What can't hold such tasks hides none of them.
+    hiding.record = hiding.record._replace(spot=True)
+    assert not node.scheduler._unlocated(holding, node.scheduler._hidden(holding))
+    holding.settled = hiding.settled = True
     work.pending = {}
     node.scheduler._turn(holding)
     assert TaskId(later.uid, 0) in node.fleet.where, [
--- a/tests/test_troubles.py
+++ b/tests/test_troubles.py
@@ -8,8 +8,8 @@
 from world import CANCEL_S, FIVE, LEASE_S, MEMBERS, World, spec
 
 from runcourse.core import types as t
-from runcourse.core.ids import Instant, TaskId
-from runcourse.core.jobs import job_value
+from runcourse.core.ids import Instant, Session, TaskId, Token
+from runcourse.core.jobs import Job, job_value
 from runcourse.core.machines import Fleet, Machine
 from runcourse.core.node import Node
 
@@ -409,3 +409,31 @@
     fleet: Fleet = world.nodes["n0"].fleet  # type: ignore[union-attr]
     assert 2.5 <= fleet.patience() < LEASE_S
     assert fleet.cx.now >= Instant(0.0)
+
+
+def test_orders_of_an_answer_are_looked_for_in_the_next_report() -> None:
+    world = ready(machines=1)
+    node, machine = owner_of(world, next(iter(world.workers)))
+    world.run(2.0)
+    job = Job(spec("j-000800"), 1)  # type: ignore[arg-type]
+    node.fleet.place(job, 0, machine, machine.share.next_attempt())
+    assert node.fleet.orders(machine, answering=True)
+    assert not machine.doubted
+    token, number = machine.token_seen, machine.seq + 1
+    node.fleet.hear(t.Report(machine.id, machine.addr, "m4", machine.record.zone, False,
+                             machine.session, number, token, None, ()))
+    assert machine.doubted and not node.fleet.usable(machine)
+
+
+def test_a_copy_right_after_a_restart_of_the_worker_is_not_believed() -> None:
+    """Before the new life has shown a token of ours, only the raised one tells the two apart."""
+    world = ready(machines=1)
+    node, machine = owner_of(world, next(iter(world.workers)))
+    old = t.Report(machine.id, machine.addr, "m4", machine.record.zone, False,
+                   Session(machine.session + 4), 100, machine.token_seen, None, ())
+    since = machine.known
+    live = old._replace(session=Session(1), seq=0, token=Token(0))
+    assert node.fleet.hear(live, since)
+    assert machine.session == 1 and machine.doubted
+    assert not node.fleet.hear(old)
+    assert machine.session == 1
