A new session has its whole lease; large jobs are not stopped at once; images take room

The lease now counts from the session's first sight. A share is handed back once its machines are heard: the taker located tasks anew, 8 s, for silent ones.

--- a/runcourse/core/machines.py
+++ b/runcourse/core/machines.py
@@ -437,6 +437,10 @@
             return False
         usable = self.usable(machine)
         now = self.cx.now
+        if report.session > machine.session or machine.heard < 0:
+            # A session's lease counts from its beginning, whatever was answered before; tasks
+            # may be started in it by commands before any report of it is answered.
+            machine.last_answer = max(machine.last_answer, now)
         if report.session > machine.session:
             if machine.session:
                 for placement in list(machine.placements.values()):
@@ -511,7 +515,7 @@
         machine.expired_session = Session(0)
         machine.token_seen = report.token
         machine.doubt_reach(self.cx.now)
-        machine.doubted_at = machine.up_since = self.cx.now
+        machine.doubted_at = machine.up_since = machine.last_answer = self.cx.now
         machine.born = machine.doubt
         self._dirty[machine.id] = None
 
@@ -523,11 +527,11 @@
                for key, p in machine.placements.items()):
             self.doubt(machine)
 
-    def doubt(self, machine: Machine) -> None:
-        """Something speaks against its being reachable: a raised token will tell, by way of
-        a command at once or of the next answers."""
+    def doubt(self, machine: Machine, since: Instant | None = None) -> None:
+        """Something speaks against its being reachable `since` then: a raised token will tell,
+        by way of a command at once or of the next answers."""
         if not machine.doubted:
-            machine.doubt_reach(self.cx.now)
+            machine.doubt_reach(self.cx.now if since is None else since)
             self._dirty[machine.id] = None
 
     def beaten(self, machine: Machine, relayed: bool, before: Instant) -> None:
@@ -538,7 +542,7 @@
                     1.25 * self.cx.platform.settings.workers.report_s + 0.75)
         if ((relayed or now - before > pause) and before >= 0
                 and now - machine.reached > REPORT_PATIENCE_S):
-            self.doubt(machine)
+            self.doubt(machine, max(before, machine.reached))
 
     def ask(self, machine: Machine) -> None:
         """Ask the worker itself: no report is believed over its live answer."""
@@ -737,6 +741,12 @@
         return [m.id for m in self.machines.values()
                 if self.cx.now - max(m.heard, m.share.since, m.added) > limit]
 
+    def all_heard(self, share: ShareNo) -> bool:
+        """Are all machines of the share that ever came up heard, and reached?"""
+        limit = 1.25 * self.cx.platform.settings.workers.report_s + 1.5
+        return all(m.heard < 0 or (self.silent_s(m) <= limit and not m.doubted)
+                   for m in self.of_share(share))
+
     def usable(self, machine: Machine) -> bool:
         """May new tasks go there?"""
         report_s = self.cx.platform.settings.workers.report_s
--- a/runcourse/core/node.py
+++ b/runcourse/core/node.py
@@ -56,6 +56,7 @@
         self.scheduler = Scheduler(cx, self.store, self.shares, self.jobs, self.quota)
         self.fleet = Fleet(cx, self.store, self.shares, self.jobs, self.scheduler)
         self.scheduler.fleet = self.fleet
+        self.shares.all_heard = self.fleet.all_heard
         self.rental = Rental(cx, self.store, self.authority, self.shares, self.fleet,
                              self.scheduler)
         self.users = Users(cx, self.store, self.authority, self.shares, self.jobs, self.quota,
--- a/runcourse/core/rental.py
+++ b/runcourse/core/rental.py
@@ -111,6 +111,7 @@
         self._led_since: Instant | None = None
         self._peaks: deque[tuple[Instant, float]] = deque()
         self._drain_at = cx.now
+        self._summed_at = cx.now
 
     # --- leadership ----------------------------------------------------------------------
 
@@ -631,6 +632,13 @@
             self._peaks.popleft()
         keep = max(d for _, d in self._peaks) * self.cx.operators.headroom
         capacity = sum(self._cpus.values())
+        if now >= self._summed_at + 30.0:
+            self._summed_at = now
+            cheap = sum(r.spot for r in self.fleet.records.values())
+            self.cx.log("info", f"fleet: {len(self.fleet.records)} machines, {cheap} cheap,"
+                                f" {sum(map(len, idle.values()))} empty; {capacity:.0f} CPUs,"
+                                f" {sum(ld.used for ld in self.loads.values()):.0f} used,"
+                                f" {demand:.0f} asked, {keep:.0f} kept")
         largest = self._largest_tasks() if any(idle.values()) else {}
         for share in self.shares.all():
             for seconds, id, record in sorted(idle[share], key=lambda i: (i[2].spot, -i[0])):
--- a/runcourse/core/scheduler.py
+++ b/runcourse/core/scheduler.py
@@ -28,8 +28,8 @@
 class Work:
     """What is left to do of one open job of an owned share."""
 
-    __slots__ = ("errors", "finished", "flushed_at", "flushing", "job", "not_before", "pending",
-                 "retry_at", "share", "waits", "zones")
+    __slots__ = ("aged_until", "errors", "finished", "flushed_at", "flushing", "job",
+                 "not_before", "pending", "retry_at", "share", "waits", "zones")
 
     def __init__(self, job: Job, share: ShareNo) -> None:
         self.job = job
@@ -41,6 +41,7 @@
         self.flushed_at = LONG_AGO
         self.retry_at = LONG_AGO
         self.not_before = LONG_AGO
+        self.aged_until = LONG_AGO  # goes first and is not stopped for others until then
         self.errors: dict[MachineId, int] = {}
         self.waits = ""  # why its next task waits
 
@@ -64,6 +65,9 @@
             if aim.kind == "deadline" and aim.job_class is not None:
                 times = {*self._lateness.get(aim.job_class, ()), aim.times or 1.0}
                 self._lateness[aim.job_class] = tuple(sorted(times))
+        self._within = {aim.job_class: aim.within_s for aim in cx.platform.settings.objectives
+                        if aim.kind == "wait" and aim.job_class is not None
+                        and aim.within_s is not None}
         self._draining: list[Machine] = []
         self._dirty = True
         self._next_turn = Instant(0.0)
@@ -311,7 +315,10 @@
                 if begun or self.cx.now + left <= job.submitted + times * spec.deadline_s:
                     break
                 tier += 1
-        if self.cx.now > job.submitted + AGED_S and not begun:
+        now = self.cx.now
+        if not begun and now > job.submitted + AGED_S and now >= work.aged_until:
+            work.aged_until = Instant(now + AGED_S)
+        if now < work.aged_until:
             return (False, -1, 0, job.submitted, job.uid)
         return (not self.quota.guaranteed(job), spec.rank, tier, due, job.uid)
 
@@ -354,10 +361,10 @@
             and (spec.spot or not record.spot)
         )
 
-    def _zone_open(self, work: Work, zone: str) -> bool:
-        """`spread` and `together`, given the job's other tasks at this moment."""
+    def _zone_open(self, work: Work, zone: str, more: int = 0) -> bool:
+        """`spread` and `together`, given the job's other tasks at this moment, and `more`."""
         spec = work.job.spec
-        placed = work.zones.get(zone, 0)
+        placed = work.zones.get(zone, 0) + more
         if spec.spread and placed >= (spec.tasks + 1) // 2:
             return False
         return not (spec.together and any(n for z, n in work.zones.items() if z != zone))
@@ -399,6 +406,7 @@
         if not self.quota.allows(job, extra):
             work.waits = "team limit"
             return 0
+        held = self._room_with_image(work, usable, fits, claimed)
         pool = self._sample(fits, len(work.pending))
         scored = [(-self._score(job, m), n, m) for n, m in enumerate(pool)]
         attempt = usable[0].share.next_attempt() if usable else None
@@ -411,7 +419,7 @@
                 work.waits = "no room for the whole gang"
                 return len(work.pending)
         heapq.heapify(scored)
-        while work.pending:
+        while len(work.pending) > held:
             if not self.quota.allows(job, extra):
                 work.waits = "team limit"
                 return 0
@@ -437,12 +445,27 @@
                 heapq.heappop(scored)
             for entry in aside:
                 heapq.heappush(scored, entry)
-        missing = len(work.pending)
-        if missing:
+        missing = len(work.pending) - held
+        if missing > 0:
             work.waits = "no machine with room"
             self._make_room(work, usable, claimed, missing)
         return missing
 
+    def _room_with_image(self, work: Work, usable: list[Machine], fits: list[Machine],
+                         claimed: set[MachineId]) -> int:
+        """Extension: replicas that are promised to start sooner than their image can be fetched
+        take the room of lesser work on machines that hold it. For how many tasks room is being
+        made: they wait the moment until it is there."""
+        job = work.job
+        within = self._within.get(job.spec.lane)
+        if within is None or not job.spec.service:
+            return 0
+        lacking = len(work.pending) - sum(fits_times(job.size, m.room) for m in fits
+                                          if self._fetch_s(job, m) <= within)
+        if lacking <= 0:
+            return 0
+        return self._make_room(work, usable, claimed, lacking, within)
+
     def _gang_fits(self, work: Work, scored: list[tuple[float, int, Machine]],
                    extra: Size) -> bool:
         """A gang starts only when all of its tasks that wait fit at once."""
@@ -467,8 +490,9 @@
         return bool(fitting)
 
     def _make_room(self, work: Work, machines: list[Machine], claimed: set[MachineId],
-                   missing: int) -> None:
-        """Stop lesser work where the waiting task then fits; least work lost first.
+                   missing: int, within: float = math.inf) -> int:
+        """Stop lesser work where the waiting task then fits, and has its image `within`
+        seconds; least work lost first. Returns for how many tasks.
 
         Only as many tasks are served by a guarantee as lie within it, and no team is brought
         below its own: else two teams would stop each other's tasks in turn.
@@ -476,16 +500,20 @@
         job = work.job
         guaranteed = self.quota.guaranteed_count(job)
         if not self.quota.could_stop(job, guaranteed > 0):
-            return
+            return 0
         spec = job.spec
         asks = (spec.rank, spec.spot, spec.types, spec.zone, spec.team if guaranteed > 0 else "",
-                tuple(z for z in work.zones if not self._zone_open(work, z)))
+                tuple(z for z in work.zones if not self._zone_open(work, z)),
+                spec.image if within < math.inf else "")
         if any(size.fits(job.size) for size in self._hopeless.get(asks, ())):
-            return
+            return 0
         stopping = self.quota.stopping
+        made: dict[str, int] = {}  # by zone
 
         def cost(machine: Machine) -> tuple[float, list[Placement]] | None:
-            if not self._zone_open(work, machine.record.zone):
+            zone = machine.record.zone
+            if (not self._zone_open(work, zone, made.get(zone, 0))
+                    or (within < math.inf and self._fetch_s(job, machine) > within)):
                 return None
             victims = self._victims(job, machine, guaranteed > 0, stopping)
             if victims is None:
@@ -513,10 +541,12 @@
                 continue
             missing -= 1
             guaranteed -= 1
+            made[machine.record.zone] = made.get(machine.record.zone, 0) + 1
             claimed.add(machine.id)
             for victim in found[1]:
                 self.cx.log("info", f"{victim.task} stopped for {job.uid}")
                 self.fleet.stop(victim, self._grace(victim))
+        return sum(made.values())
 
     def _victims(self, job: Job, machine: Machine, guaranteed: bool,
                  stopping: dict[Team, Size]) -> list[Placement] | None:
@@ -535,6 +565,10 @@
             if placement.job is None:
                 continue
             team = Team(placement.job.spec.team)
+            # Else what began at last, with least to lose, would be stopped at once.
+            work = self.work.get(placement.task.job)
+            if work is not None and self.cx.now < work.aged_until:
+                continue
             if self.quota.may_stop(job, guaranteed, placement, more.get(team, NOTHING)):
                 more[team] = more.get(team, NOTHING).plus(placement.size)
                 victims.append(placement)
--- a/runcourse/core/shares.py
+++ b/runcourse/core/shares.py
@@ -27,6 +27,7 @@
 from .store import LIVE, MAPPING, SHARE, Store
 
 HANDBACK_AFTER_S = 6.0  # a returned home node must have been up this long
+HANDBACK_AT_LAST_S = 60.0  # silent machines put it off no longer
 
 
 class Holding:
@@ -60,6 +61,7 @@
         self._dealt: dict[Team, ShareNo] = {}
         self._gone_since: dict[ShareNo, Instant] = {}
         self._home_since: dict[Member, tuple[Incarnation, Instant]] = {}
+        self.all_heard: Callable[[ShareNo], bool] = lambda share: True  # set by the node
         store.listen(SHARE, self._changed)
         store.listen(MAPPING, self._mapping_changed)
 
@@ -237,6 +239,9 @@
             return
         if self.cx.now - holding.since < HANDBACK_AFTER_S:
             return
+        # Whoever takes it must locate its tasks anew, and would wait for each silent machine.
+        if not self.all_heard(share) and self.cx.now - holding.since < HANDBACK_AT_LAST_S:
+            return
         # From here until the answer nothing is commanded: once stored, the other commands.
         holding.giving = True
         self.cx.log("info", f"share {share} handed back to {home}")
