--- a/tests/test_troubles.py
+++ b/tests/test_troubles.py
@@ -477,3 +477,36 @@
     assert machine.session == 1 and machine.doubted
     assert not node.fleet.hear(old)
     assert machine.session == 1
+
+
+def test_a_new_session_raises_a_doubt() -> None:
+    """Its lease ran out though reports came: what was answered didn't arrive."""
+    world = ready(machines=1)
+    node, machine = owner_of(world, next(iter(world.workers)))
+    world.run(2.0)
+    assert not machine.doubted
+    node.fleet.hear(t.Report(machine.id, machine.addr, "m4", machine.record.zone, False,
+                             Session(machine.session + 1), 0, machine.token_seen, None, ()))
+    assert machine.doubted and not node.fleet.usable(machine)
+
+
+def test_a_start_that_never_left_is_taken_back_at_once() -> None:
+    world = ready(machines=1)
+    node, machine = owner_of(world, next(iter(world.workers)))
+    world.run(2.0)
+    job = Job(spec("j-000820"), 1)  # type: ignore[arg-type]
+    placement = node.fleet.place(job, 0, machine, machine.share.next_attempt())
+    node.cx.out.clear()
+    node.fleet.push()
+    command = next(e for e in node.cx.out if isinstance(e, t.Command))
+    node.handle(node.cx.now, t.Outcome(command.tag, 0, None, sent=False))
+    assert not placement.active and placement.task not in node.fleet.where
+    # One that an answer has carried meanwhile may be there.
+    node.cx.now = Instant(node.cx.now + 1.1)
+    other = node.fleet.place(job, 1, machine, machine.share.next_attempt())
+    node.cx.out.clear()
+    node.fleet.push()
+    command = next(e for e in node.cx.out if isinstance(e, t.Command))
+    node.fleet.orders(machine, answering=True)
+    node.handle(node.cx.now, t.Outcome(command.tag, 0, None, sent=False))
+    assert other.active
