--- a/runcourse/core/machines.py
+++ b/runcourse/core/machines.py
@@ -67,8 +67,8 @@
 
 class Placement:
     __slots__ = ("attempt", "cause", "commanded", "do_token", "fence", "forced", "given",
-                 "grace_s", "job", "machine", "prompt", "ran_since", "seen", "since", "size",
-                 "stage", "stopping", "task")
+                 "grace_s", "job", "machine", "ran_since", "seen", "since", "size", "stage",
+                 "stopping", "task")
 
     def __init__(self, task: TaskId, attempt: Attempt, machine: Machine, job: Job | None,
                  now: Instant) -> None:
@@ -82,7 +82,6 @@
         self.seen = False  # some message listed it
         self.commanded = False  # a command with the order to start it may have left
         self.do_token = Token(0)  # of the newest command with that order
-        self.prompt = False  # counted among what can't wait for a machine to boot
         self.given = -1  # number of the answered report whose answer told the worker to start it
         self.stopping = False
         self.grace_s = 0.0
--- a/runcourse/core/quota.py
+++ b/runcourse/core/quota.py
@@ -31,7 +31,6 @@
         }
         self._held: dict[Team, Size] = {}
         self._ranks: dict[int, int] = {}  # placements by rank
-        self.prompt_cpus = 0.0  # held by work that can't wait for a machine to boot
         self.stopping: dict[Team, Size] = {}  # of what is held, what was told to stop
 
     def held(self, team: Team) -> Size:
@@ -43,8 +42,6 @@
             self._held[team] = self.held(team).plus(placement.size)
             rank = placement.job.spec.rank
             self._ranks[rank] = self._ranks.get(rank, 0) + 1
-            if placement.prompt:
-                self.prompt_cpus += placement.size.cpus
             if placement.stopping:
                 self.stops(placement)
 
@@ -58,8 +55,6 @@
             team = Team(placement.job.spec.team)
             self._held[team] = self.held(team).minus(placement.size)
             self._ranks[placement.job.spec.rank] -= 1
-            if placement.prompt:
-                self.prompt_cpus -= placement.size.cpus
             if placement.stopping:
                 self.stopping[team] = self.stopping[team].minus(placement.size)
 
--- a/runcourse/core/rental.py
+++ b/runcourse/core/rental.py
@@ -58,13 +58,12 @@
 class Load:
     """What an owner tells of a share."""
 
-    __slots__ = ("at", "machines", "needs", "prompt", "used")
+    __slots__ = ("at", "machines", "needs", "used")
 
     def __init__(self, raw: dict[str, Any], at: Instant) -> None:
         self.at = at
         self.needs = [Need(n) for n in raw["needs"]]
         self.used = float(raw["used"])
-        self.prompt = float(raw["prompt"])  # CPUs used or asked for that can't wait for a boot
         # machine -> (seconds since heard or -1 for never, seconds empty or -1, used CPUs)
         self.machines: dict[str, list[float]] = raw["machines"]
 
@@ -185,13 +184,10 @@
         for holding in self.shares.mine.values():
             needs: dict[tuple[Any, ...], int] = {}
             ages: dict[tuple[Any, ...], float] = {}
-            prompt = self.scheduler.prompt_cpus(holding.number)
             for job, count, shut in self.scheduler.unmet.get(holding.number, ()):
                 spec = job.spec
                 key = (tuple(job.size), spec.rank, spec.spot, spec.types, spec.zone, shut)
                 needs[key] = needs.get(key, 0) + count
-                if self.scheduler.prompt(job):
-                    prompt += job.size.cpus * count
                 ages[key] = max(ages.get(key, 0.0), now - job.submitted)
             machines = {}
             used = 0.0
@@ -201,8 +197,7 @@
                 used += m.used.cpus
                 machines[str(m.id)] = [round(heard, 2), round(idle, 2), m.used.cpus]
             message = {
-                "t": "load", "share": holding.number, "used": used, "prompt": prompt,
-                "machines": machines,
+                "t": "load", "share": holding.number, "used": used, "machines": machines,
                 "needs": [{"size": list(k[0]), "rank": k[1], "spot": k[2],
                            "types": list(k[3]) if k[3] is not None else None, "zone": k[4],
                            "shut": list(k[5]),
@@ -631,13 +626,11 @@
         now = self.cx.now
         demand = sum(load.used + sum(n.size.cpus * n.count for n in load.needs)
                      for load in self.loads.values())
-        # Room for what can't wait for a boot is kept a while, the rest is hired when it comes.
-        prompt = min(sum(load.prompt for load in self.loads.values()), demand)
-        self._peaks.append((now, prompt))
+        self._peaks.append((now, demand))
         window = self.cx.operators.peak_window
         while self._peaks and self._peaks[0][0] < now - window:
             self._peaks.popleft()
-        keep = max(d for _, d in self._peaks) * self.cx.operators.headroom + demand - prompt
+        keep = max(d for _, d in self._peaks) * self.cx.operators.headroom
         capacity = sum(self._cpus.values())
         if now >= self._summed_at + 30.0:
             self._summed_at = now
--- a/runcourse/core/scheduler.py
+++ b/runcourse/core/scheduler.py
@@ -68,8 +68,6 @@
         self._within = {aim.job_class: aim.within_s for aim in cx.platform.settings.objectives
                         if aim.kind == "wait" and aim.job_class is not None
                         and aim.within_s is not None}
-        self._guarantee_s = next((aim.within_s for aim in cx.platform.settings.objectives
-                                  if aim.kind == "guarantee"), None)
         self._draining: list[Machine] = []
         self._dirty = True
         self._next_turn = Instant(0.0)
@@ -120,22 +118,7 @@
 
     # --- what the ledger tells -----------------------------------------------------------
 
-    def prompt(self, job: Job) -> bool:
-        """Can it not wait for a machine to boot? Its class or its team's guarantee is promised
-        a sooner start, or its deadline leaves no time. Room must be ready for such work."""
-        boot = min((t.boot_s for t in self.fleet.types.values() if job.size.fits(t.size)),
-                   default=0.0)
-        spec = job.spec
-        if self._guarantee_s is not None and self._guarantee_s < boot:
-            return True
-        within = self._within.get(spec.lane)
-        if within is not None and within < boot:
-            return True
-        return spec.deadline_s is not None and spec.deadline_s - spec.estimate_s < 1.5 * boot
-
     def placed(self, placement: Placement) -> None:
-        if placement.job is not None:
-            placement.prompt = self.prompt(placement.job)
         self.quota.add(placement)
         work = self.work.get(placement.task.job)
         if work is not None:
@@ -205,12 +188,6 @@
     def changed(self) -> None:
         self._dirty = True
 
-    def prompt_cpus(self, share: ShareNo) -> float:
-        """Of a share's work that is placed; exact where a node owns one share."""
-        if len(self.shares.mine) == 1:
-            return self.quota.prompt_cpus
-        return sum(p.size.cpus for p in self.fleet.placements(share) if p.active and p.prompt)
-
     # --- finishes ------------------------------------------------------------------------
 
     def flush(self) -> None:
