--- a/runcourse/core/rental.py
+++ b/runcourse/core/rental.py
@@ -639,8 +639,7 @@
                                 f" {sum(map(len, idle.values()))} empty; {capacity:.0f} CPUs,"
                                 f" {sum(ld.used for ld in self.loads.values()):.0f} used,"
                                 f" {demand:.0f} asked, {keep:.0f} kept")
-        largest, fixed = self._largest_tasks() if any(idle.values()) else ({}, {})
-        ordinary = self._ordinary_free() if fixed else {}
+        largest = self._largest_tasks() if any(idle.values()) else {}
         for share in self.shares.all():
             for seconds, id, record in sorted(idle[share], key=lambda i: (i[2].spot, -i[0])):
                 type_ = self.fleet.types[record.type]
@@ -649,11 +648,7 @@
                     # A machine costs its boot again, and a minute at the least.
                     limit = min(max(60.0 - type_.boot_s, 0.5 * type_.boot_s), 45.0)
                 if (seconds > limit and capacity - type_.cpus >= keep
-                        and self._free_of(share) - type_.cpus >= largest.get(share, 0.0)
-                        and (record.spot or ordinary.get(share, 0.0) - type_.cpus
-                             >= fixed.get(share, 0.0))):
-                    if not record.spot and fixed:
-                        ordinary[share] = ordinary.get(share, 0.0) - type_.cpus
+                        and self._free_of(share) - type_.cpus >= largest.get(share, 0.0)):
                     capacity -= type_.cpus
                     self._cpus[share] -= type_.cpus
                     self._ask_owner(share, {"t": "retire", "machine": id})
@@ -664,29 +659,14 @@
         load = self.loads.get(share)
         return self._cpus[share] - (load.used if load else 0.0)
 
-    def _largest_tasks(self) -> tuple[dict[ShareNo, float], dict[ShareNo, float]]:
-        """Room that a share with open jobs keeps, for any task and for those that cheap
-        machines can't take: without it, the next replica within its team's guarantee stops
-        another team's, or waits for a boot."""
+    def _largest_tasks(self) -> dict[ShareNo, float]:
+        """Room that a share with open jobs keeps: without it, the next replica within its
+        team's guarantee stops another team's."""
         largest: dict[ShareNo, float] = {}
-        fixed: dict[ShareNo, float] = {}
         for job in self.fleet.jobs.open_jobs():
             share = self.shares.of_team(Team(job.spec.team))
             largest[share] = max(largest.get(share, 0.0), job.size.cpus)
-            if not job.spec.spot:
-                fixed[share] = max(fixed.get(share, 0.0), job.size.cpus)
-        return largest, fixed
-
-    def _ordinary_free(self) -> dict[ShareNo, float]:
-        """CPUs not in use on each share's ordinary machines."""
-        free: dict[ShareNo, float] = {}
-        for id, record in self.fleet.records.items():
-            load = self.loads.get(record.share)
-            info = load.machines.get(str(id)) if load else None
-            if info is not None and not record.spot and not record.leaving:
-                room = self.fleet.types[record.type].cpus - info[2]
-                free[record.share] = free.get(record.share, 0.0) + room
-        return free
+        return largest
 
     def _drain(self, capacity: float, keep: float) -> None:
         """Nothing is empty, yet there is more than is needed: have a share empty one more."""
