Lesser work of other shares makes way for what waits without an empty machine

Its share's ordinary machines were full of replicas, two other shares ran arrays on theirs, which never fell empty while arrays waited there, and the cloud had no more. The leader now asks an owner to stop lesser work on one machine and to give it away.

--- a/runcourse/core/rental.py
+++ b/runcourse/core/rental.py
@@ -33,6 +33,8 @@
 CATALOG_EVERY_S = 30.0
 MAX_HIRE = 50  # machines in one request, by the protocol
 MAX_RELEASE = 100
+VACATE_AFTER_S = 2.0  # work that cheap machines can't take waits so long for an empty one
+VACATE_S = 15.0  # within which a machine promised to another share must be empty
 REMEMBERED = 3000  # ids of returned machines kept in the store
 
 Place = tuple[str, str, bool]  # type, zone, spot
@@ -41,9 +43,10 @@
 class Need:
     """Waiting tasks of one shape in one share."""
 
-    __slots__ = ("age", "asked", "count", "rank", "shut", "size", "spot", "types", "zone")
+    __slots__ = ("age", "asked", "count", "rank", "raw", "shut", "size", "spot", "types", "zone")
 
     def __init__(self, raw: dict[str, Any]) -> None:
+        self.raw = raw
         self.size = Size(*raw["size"])
         self.asked = int(raw["n"])
         self.count = self.asked  # what is left of it while a plan is made
@@ -111,6 +114,8 @@
         self._led_since: Instant | None = None
         self._peaks: deque[tuple[Instant, float]] = deque()
         self._drain_at = cx.now
+        self._vacate_at = cx.now
+        self._promised: dict[MachineId, tuple[ShareNo, Instant]] = {}  # to be given when empty
         self._summed_at = cx.now
 
     # --- leadership ----------------------------------------------------------------------
@@ -155,6 +160,7 @@
             self._load_at = now
             self._tell_load()
             self._return_silent()
+            self._give_promised()
         self._retry()
         self._claim()
         if not self.leading:
@@ -479,6 +485,7 @@
                 unmet[share] = self._left_over(load.needs, booting[share])
         self._move_idle(unmet, idle)
         self._hire_for(unmet)
+        self._vacate_for(unmet)
         self._keep_spare(idle)
 
     def _left_over(self, needs: list[Need], booting: dict[Place, float]) -> list[Need]:
@@ -531,6 +538,52 @@
                             idle[other].remove(entry)
                             self._ask_owner(other, {"t": "give", "machine": id, "share": share})
 
+    def _vacate_for(self, unmet: dict[ShareNo, list[Need]]) -> None:
+        """Lesser work elsewhere makes way for what cheap machines can't take: within a share
+        the scheduler stops it, but what is busy in another share never falls empty by itself
+        while arrays wait there."""
+        now = self.cx.now
+        if now < self._vacate_at:
+            return
+        waiting = sorted(((need.rank, -need.age, share, need) for share, needs in unmet.items()
+                          for need in needs if need.asked > 0 and not need.spot
+                          and need.age >= VACATE_AFTER_S), key=lambda w: w[:3])
+        for _, _, share, need in waiting:
+            others = sorted({r.share for r in self.fleet.records.values()
+                             if r.share != share and not r.leaving
+                             and self._serves(need, r.type, r.zone, r.spot)})
+            if others:
+                self._vacate_at = Instant(now + 1.0)
+                other = self.cx.rng.choice(others)
+                self._ask_owner(other, {"t": "vacate", "share": other, "to": share,
+                                        "need": need.raw})
+                return
+
+    def _vacate(self, message: dict[str, Any]) -> None:
+        share, to = ShareNo(int(message["share"])), ShareNo(int(message["to"]))
+        need = Need(message["need"])
+        if (not self.shares.may_command(share) or to == share
+                or not 0 <= to < len(self.cx.members)
+                or any(job.spec.rank <= need.rank for job, _, _
+                       in self.scheduler.unmet.get(share, ()))):
+            return
+        machine = self.scheduler.vacate(
+            share, need.rank, need.size,
+            lambda m: self._serves(need, m.record.type, m.record.zone, m.record.spot))
+        if machine is not None:
+            self.cx.log("info", f"machine {machine.id}: makes way for share {to}")
+            self._promised[machine.id] = (to, Instant(self.cx.now + VACATE_S))
+
+    def _give_promised(self) -> None:
+        for id, (to, until) in list(self._promised.items()):
+            machine = self.fleet.machines.get(id)
+            if machine is None or self.cx.now > until:
+                del self._promised[id]
+            elif (not machine.busy and not machine.moving and not machine.record.leaving
+                    and self.shares.may_command(machine.share.number)):
+                del self._promised[id]
+                self.change_record(machine, share=to)
+
     # --- hiring --------------------------------------------------------------------------
 
     def _note_refusal(self, type_: str, zone: str, spot: bool, least: float = 4.0) -> None:
@@ -689,6 +742,9 @@
         if message["t"] == "given":
             self.fleet.given(message)
             return
+        if message["t"] == "vacate":
+            self._vacate(message)
+            return
         if message["t"] == "drain":
             share = ShareNo(int(message["share"]))
             if self.shares.may_command(share):
--- a/runcourse/core/scheduler.py
+++ b/runcourse/core/scheduler.py
@@ -4,6 +4,7 @@
 
 import heapq
 import math
+from collections.abc import Callable
 from typing import Any
 
 from .context import Context
@@ -623,6 +624,29 @@
             machine.draining_until = Instant(self.cx.now + DRAIN_S)
             self._draining.append(machine)
 
+    def vacate(self, share: ShareNo, rank: int, size: Size,
+               serves: Callable[[Machine], bool]) -> Machine | None:
+        """Stop all that runs on one machine, if all of it ranks lower; least work lost first.
+        Nothing new goes there until it has changed its share."""
+        now = self.cx.now
+        best: tuple[float, str, Machine] | None = None
+        for machine in self.fleet.of_share(share):
+            active = [p for p in machine.placements.values() if p.active]
+            if (not self.fleet.usable(machine) or not serves(machine) or machine.type is None
+                    or not size.fits(machine.type.size)
+                    or any(p.job is None or p.job.spec.rank <= rank for p in active)):
+                continue
+            lost = sum(self._loss(p, now) for p in active)
+            if best is None or (lost, machine.id) < best[:2]:
+                best = (lost, machine.id, machine)
+        if best is None:
+            return None
+        machine = best[2]
+        machine.draining_until = Instant(now + DRAIN_S)
+        for placement in list(machine.placements.values()):
+            self.fleet.stop(placement, self._grace(placement))
+        return machine
+
     def _move_away(self, machine: Machine) -> None:
         """Move the replicas if the others have room and hold their images: then a move takes
         a moment only, and the empty machine can be returned."""
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -300,3 +300,20 @@
     world.until(lambda: any(task.job == "j-000103" for task, _ in world.on_machines()), 10)
     start = next(s for s in world.starts[before:] if s[1].job == "j-000103")
     assert start[2] == held and not world.broken
+
+
+def test_lesser_work_of_another_share_makes_way_for_a_replica() -> None:
+    """A replica waited for 63 s: its share was full, others ran arrays that never let a
+    machine fall empty, and the cloud had no more."""
+    world = World(machines=3, cpus_max=100.0)
+    world.run(4.0)
+    for n in range(2):
+        world.submit(spec(f"j-00011{n}", tasks=30, team=f"team-{n}", estimate_s=8.0))
+    world.run(6.0)
+    node = next(n for n in world.nodes.values() if n is not None)
+    share = node.shares.of_team("team-2")  # type: ignore[arg-type]
+    world.submit(spec("j-000112", service=True, tasks=4, team="team-2", rank=0))
+    world.until(lambda: len([1 for task, _ in world.on_machines()
+                             if task.job == "j-000112"]) == 4, 20)
+    assert sum(r.share == share for r in node.fleet.records.values()) >= 2
+    assert not world.broken
