--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -1,9 +1,12 @@
 """The core through whole stories: scripted peers, a fake clock, no sockets."""
 
+import zlib
 from typing import Any
 
 import pytest
-from world import LEASE_S, World, spec
+from world import FIVE, LEASE_S, World, spec
+
+from runcourse.core.ids import Stamp, Team
 
 
 def started() -> World:
@@ -223,3 +226,33 @@
 def _no_owner(world: World, asker: str, share: Any) -> bool:
     node = world.nodes[asker]
     return node is not None and node.shares.living_owner(share) is None
+
+
+def test_teams_are_dealt_evenly_and_the_list_in_the_store_decides() -> None:
+    """A hash of few names left one share of five without a team."""
+    world = World(members=FIVE)
+    world.run(3.0)
+    node = world.nodes["n0"]
+    assert node is not None
+    shares = [node.shares.of_team(Team(f"team-{i}")) for i in range(4)]
+    assert len(set(shares)) == 4
+    # Settings with other teams move none that was dealt.
+    key = "rc/mapping"
+    assert world.state.data[key][0] == {"dealt": [f"team-{i}" for i in range(4)]}
+    node.shares._mapping_changed(key, {"dealt": ["team-3", "team-0"]}, Stamp(99))
+    assert node.shares.of_team(Team("team-3")) == 0 and node.shares.of_team(Team("team-0")) == 1
+
+
+def test_a_store_of_before_the_dealing_goes_on_with_hashes() -> None:
+    world = World()
+    world.run(3.0)
+    del world.state.data["rc/mapping"]
+    for member in world.members:
+        world.crash(member)
+        world.start(member)
+    world.run(6.0)
+    node = world.nodes["n0"]
+    assert node is not None and node.shares.mine
+    assert "rc/mapping" not in world.state.data
+    assert all(node.shares.of_team(Team(name)) == zlib.crc32(name.encode()) % 3
+               for name in ("team-0", "team-1", "team-2", "team-3"))
