A process that stood still: what leaves is checked again; sockets parted; cancelled tasks count

Guards for a controller that stands still while its clocks run on: effects say until when they may leave, reads are not believed once old, changes given up do not leave. Sockets are parted by need; workers' reports have a limit of their own, the oldest idle connection makes room, commands open at once are bounded. Random interleavings with the new pause found a real broken quota: tasks of a job cancelled while its share was not settled were counted no more.

--- a/runcourse/config.py
+++ b/runcourse/config.py
@@ -7,7 +7,7 @@
 
 import tomllib
 from pathlib import Path
-from typing import Annotated, Any
+from typing import Annotated, Any, NamedTuple
 
 import msgspec
 import sexpdata
@@ -68,11 +68,27 @@
     list_lag_s: NonNegative = 5.0
 
 
+class Sockets(NamedTuple):
+    commands: int  # to workers, open at once
+    kept: int  # idle ones to workers
+    reports: int  # of workers
+    served: int  # all that are accepted: reports, users and health checks
+
+
 class Quota(Struct, frozen=True):
     core_share: Positive = 1.0
     memory_mb: Positive = 256.0
     fd_limit: Annotated[int, Meta(ge=16)] = 1024
 
+    def sockets(self, nodes: int) -> Sockets:
+        """Parts the limit. What is fixed comes first: listeners, the state service's 14
+        connections, the cloud's 4, two to and from each peer, operators' 8, and a few files. Of
+        the rest a fifth is for commands to workers, three fifths are for their reports, and
+        a fifth is left for users and health checks, who may use all that workers don't."""
+        rest = max(self.fd_limit - 40 - 4 * nodes, self.fd_limit // 4, 10)
+        return Sockets(commands=max(2, rest // 10), kept=max(2, rest // 10),
+                       reports=rest * 6 // 10, served=rest * 8 // 10)
+
 
 class Deployment(Struct, frozen=True):
     workers: WorkerSettings
--- a/runcourse/core/authority.py
+++ b/runcourse/core/authority.py
@@ -12,10 +12,12 @@
 from typing import Any
 
 from .context import DRIFT, Context
-from .ids import ABSENT, LONG_AGO, Incarnation, Instant, Member, Stamp
+from .ids import ABSENT, ALWAYS, LONG_AGO, Incarnation, Instant, Member, Stamp
 from .store import LIVE, Store
 from .types import Extend, Grant, Outcome, Say
 
+FAILED_LATELY_S = 2.0  # beyond the longest wait for an answer of the state service
+
 
 class Authority:
     def __init__(self, cx: Context, store: Store, on_live: Callable[[], None],
@@ -52,16 +54,19 @@
             return LONG_AGO
         return Instant(min(self.renewed, self.store.last_synced) + self.ttl * (1 - DRIFT) - 0.05)
 
+    def end(self) -> Instant:
+        """Until when this node may act, as far as is known now: its lease and its contact, or
+        a majority that vouches. What is decided before must not leave after it."""
+        if not self.live or self._refuted:
+            return self.until
+        needed = self.cx.majority - 1
+        if not needed:
+            return ALWAYS
+        votes = sorted(self._votes.values(), reverse=True)
+        return max(self.until, votes[needed - 1] if len(votes) >= needed else LONG_AGO)
+
     def entitled(self) -> bool:
-        now = self.cx.now
-        if not self.live:
-            return False
-        if now < self.until:
-            return True
-        if self._refuted:
-            return False
-        votes = 1 + sum(1 for until in self._votes.values() if now < until)
-        return votes >= self.cx.majority
+        return self.cx.now < self.end()
 
     def live_inc(self, member: Member) -> Incarnation | None:
         value = self.store.get(LIVE + member)
@@ -205,7 +210,9 @@
         # One failure amid successes is no outage: such a node must not keep another going.
         recently = self.store.last_contact > now - 1.0
         ok = (
+            # What failed before this process stood still says nothing of now.
             self.store.failing
+            and self.store.failed_at > now - FAILED_LATELY_S
             and not recently
             and inc not in self._never_vouch
             and self.live_inc(member) == inc
--- a/runcourse/core/machines.py
+++ b/runcourse/core/machines.py
@@ -227,7 +227,14 @@
         self._of_job: dict[JobId, dict[Placement, None]] = {}  # active ones
         self._running: dict[JobId, int] = {}
         self.addrs: dict[MachineId, str] = {}
-        self._dirty: dict[MachineId, None] = {}
+        self._dirty: dict[MachineId, None] = {}  # to be told something, in turn
+        self._resting: dict[MachineId, Instant] = {}  # the same, but not before
+        # Commands and questions to workers are bounded by the sockets there are for them;
+        # machines that may not answer take no more than half, so that others never wait for them.
+        sockets = cx.platform.settings.quota.sockets(len(cx.members))
+        self._most_open = sockets.commands
+        self._open = 0
+        self._open_doubted = 0
         self._looked_at = LONG_AGO
         self._given: dict[MachineId, tuple[Instant, dict[str, Any]]] = {}
         store.listen(MACHINE, self._record_changed)
@@ -547,14 +554,17 @@
     def ask(self, machine: Machine) -> None:
         """Ask the worker itself: no report is believed over its live answer."""
         now = self.cx.now
-        if machine.probing or not machine.addr or now < machine.asked_at + 1.0:
+        if (machine.probing or not machine.addr or now < machine.asked_at + 1.0
+                or 2 * self._open_doubted >= self._most_open):
             return
         machine.probing = True
+        self._opened(True)
         machine.asked_at = now
         since = machine.known
 
         def done(outcome: Outcome) -> None:
             machine.probing = False
+            self._closed(True)
             if self.machines.get(machine.id) is machine and isinstance(outcome.body, Report):
                 self.hear(outcome.body, since)
 
@@ -658,13 +668,22 @@
 
     def push(self) -> None:
         """Send what is new straight to the workers; the next report's answer repeats it."""
+        if not self._dirty or self._open >= self._most_open:
+            return
         now = self.cx.now
         for id in list(self._dirty):
+            if self._open >= self._most_open:
+                return
             machine = self.machines.get(id)
             if machine is None or not self.shares.may_command(machine.share.number):
                 del self._dirty[id]
                 continue
             if machine.do_open or now < machine.do_after:
+                # Looked at again when it may be told; not at every input until then.
+                del self._dirty[id]
+                self._resting[id] = machine.do_after
+                continue
+            if machine.doubted and 2 * self._open_doubted >= self._most_open:
                 continue
             del self._dirty[id]
             orders = self.orders(machine, answering=False)
@@ -672,8 +691,28 @@
             if machine.addr and machine.session and (orders or fencing or machine.doubted):
                 self._command(machine, orders)
 
+    def _wake(self) -> None:
+        now = self.cx.now
+        for id, at in list(self._resting.items()):
+            machine = self.machines.get(id)
+            if machine is None:
+                del self._resting[id]
+            elif now >= at and not machine.do_open:
+                del self._resting[id]
+                self._dirty[id] = None
+
+    def _opened(self, doubted: bool) -> None:
+        self._open += 1
+        self._open_doubted += doubted
+
+    def _closed(self, doubted: bool) -> None:
+        self._open -= 1
+        self._open_doubted -= doubted
+
     def _command(self, machine: Machine, orders: tuple[Order, ...]) -> None:
         machine.do_open = True
+        doubted = machine.doubted
+        self._opened(doubted)
         token, session, since = machine.token, machine.session, machine.known
         starts = [p for p in machine.placements.values()
                   if not p.seen and not p.stopping and p.active]
@@ -684,6 +723,9 @@
 
         def done(outcome: Outcome) -> None:
             machine.do_open = False
+            self._closed(doubted)
+            if self._resting.pop(machine.id, None) is not None:  # something came up meanwhile
+                self._dirty[machine.id] = None
             if self.machines.get(machine.id) is not machine:
                 return
             if isinstance(outcome.body, Report):
@@ -703,12 +745,14 @@
                 if placement.given < 0 and not placement.seen and placement.active:
                     self._remove(placement, "unsent")
 
-        self.cx.out.append(Command(done, machine.addr, token, session, orders))
+        self.cx.out.append(Command(done, machine.addr, token, session, orders,
+                                   self.shares.authority.end()))
 
     # --- time ----------------------------------------------------------------------------
 
     def tick(self) -> None:
         now = self.cx.now
+        self._wake()
         if now >= self._looked_at + LOOK_EVERY_S:
             self._looked_at = now
             oldest = now - self.cx.lease_s
--- a/runcourse/core/node.py
+++ b/runcourse/core/node.py
@@ -206,7 +206,8 @@
         if not self.fleet.hear(beat.report):
             if self.fleet.overtaken(beat.report):
                 self.fleet.answered(machine)
-                self._answer(beat, AnswerBeat(beat.request, 200, machine.token))
+                self._answer(beat, AnswerBeat(beat.request, 200, machine.token,
+                                              until=self.authority.end()))
             else:
                 self._answer(beat, AnswerBeat(beat.request, 503))
             return
@@ -219,7 +220,8 @@
         self.scheduler.turn()
         self.fleet.answered(machine)
         orders = self.fleet.orders(machine, answering=True)  # may raise the token
-        self._answer(beat, AnswerBeat(beat.request, 200, machine.token, orders))
+        self._answer(beat, AnswerBeat(beat.request, 200, machine.token, orders,
+                                      until=self.authority.end()))
 
     def _reachable(self, member: Member) -> bool:
         heard, _ = self._peer_contact.get(member, (LONG_AGO, False))
--- a/runcourse/core/scheduler.py
+++ b/runcourse/core/scheduler.py
@@ -7,8 +7,8 @@
 from collections.abc import Callable
 from typing import Any
 
-from .context import Context
-from .ids import LONG_AGO, Instant, JobId, MachineId, ShareNo, Stamp, TaskId, Team
+from .context import DRIFT, Context
+from .ids import LONG_AGO, Instant, JobId, MachineId, ShareNo, Stamp, TaskId, Team, later
 from .jobs import PAGE_BITS, Job, Jobs, job_value
 from .machines import Fleet, Machine, Placement
 from .placement import NOTHING, Size, fits_times, progress
@@ -72,6 +72,7 @@
         self._draining: list[Machine] = []
         self._dirty = True
         self._next_turn = Instant(0.0)
+        self._ending: dict[JobId, tuple[Job, Instant]] = {}  # cancelled; until when they may run
         self._finished: dict[JobId, Work] = {}  # with finishes that are not stored yet
         self._weighed = 0
         self._lasting = 0.0  # CPUs of services in the share whose turn it is
@@ -82,6 +83,11 @@
 
     def job_changed(self, job: Job) -> None:
         share = self.shares.of_team(Team(job.spec.team))
+        if job.stage == "cancelled":
+            # Its tasks may go on for a while where no owner has found them yet, and count
+            # against the team's limit: whoever owns the share by then.
+            gone = later(self.cx.now, self.cx.platform.settings.workers.cancel_s * (1 + DRIFT))
+            self._ending[job.uid] = (job, gone)
         if share not in self.shares.mine:
             return
         if job.final:
@@ -339,19 +345,33 @@
             for m in hidden)
 
     def _unlocated(self, holding: Holding, hidden: list[Machine]) -> dict[Team, Size]:
-        """Tasks that an earlier owner may have started on machines not heard of yet."""
+        """Tasks that an earlier owner may have started on machines not heard of yet: those of
+        open jobs, and of jobs cancelled lately, which need not have stopped by now. No more
+        than such machines hold."""
         if not hidden:
             return {}
+        most = NOTHING
+        for machine in self.fleet.of_share(holding.number):
+            if not machine.settled:
+                if machine.type is None:
+                    most = Size(math.inf, math.inf, math.inf)
+                    break
+                most = most.plus(machine.type.size)
         found: dict[Team, Size] = {}
-        for work in self.work.values():
-            job = work.job
-            if (work.pending and work.share == holding.number
-                    and self._may_hide(job, holding, hidden)):
+
+        def count(job: Job, n: int) -> None:
+            if n > 0 and self._may_hide(job, holding, hidden):
                 team = Team(job.spec.team)
-                n = len(work.pending)
                 size = Size(job.size.cpus * n, job.size.memory * n, job.size.gpus * n)
                 found[team] = found.get(team, NOTHING).plus(size)
-        return found
+
+        for work in self.work.values():
+            if work.share == holding.number:
+                count(work.job, len(work.pending))
+        for job, _ in self._ending.values():
+            if self.shares.of_team(Team(job.spec.team)) == holding.number:
+                count(job, job.spec.tasks - job.done_count - len(self.fleet.of_job(job.uid)))
+        return {team: Size(*map(min, size, most)) for team, size in found.items()}
 
     def _permits(self, job: Job, machine: Machine) -> bool:
         spec = job.spec
@@ -700,6 +720,11 @@
             self.fleet.stop(placement, self._grace(placement))
 
     def tick(self) -> None:
+        while self._ending:  # oldest first
+            uid = next(iter(self._ending))
+            if self.cx.now < self._ending[uid][1]:
+                break
+            del self._ending[uid]
         for machine in self.fleet.machines.values():
             if machine.notice_until is not None and self.shares.may_command(machine.share.number):
                 self._leave(machine)
--- a/runcourse/core/store.py
+++ b/runcourse/core/store.py
@@ -13,8 +13,8 @@
 from typing import Any
 
 from .context import Context
-from .ids import ABSENT, LONG_AGO, Instant, Stamp
-from .types import Commit, Follow, Outcome, ReadAll
+from .ids import ABSENT, ALWAYS, LONG_AGO, Instant, Stamp
+from .types import LATE, Commit, Follow, Outcome, ReadAll
 
 ROOT = "rc/"
 LIVE = ROOT + "live/"
@@ -26,6 +26,7 @@
 DONE = ROOT + "done/"
 CATALOG = ROOT + "catalog"
 
+FRESH_S = 1.5  # how old a read may be that an answer rests on, when the answer leaves
 TRIES = 4  # of a change that the state service has no time for
 
 Listener = Callable[[str, Any, Stamp], None]
@@ -168,8 +169,15 @@
             self.last_synced = max(self.last_synced, sent)
         elif outcome.status == 410:
             self.ready = False  # too far behind: read everything again
+        # A read that was answered before this process stood still proves nothing after it.
+        fresh = ok and self.cx.now <= sent + FRESH_S
         for waiter in waiters:
-            waiter(ok)
+            waiter(fresh)
+
+    @property
+    def fresh_until(self) -> Instant:
+        """Until when the newest read may be the ground of an answer."""
+        return Instant(self.last_synced + FRESH_S)
 
     def note_contact(self, ok: bool, status: int, sent: Instant) -> None:
         if ok:
@@ -187,7 +195,9 @@
         return self._queued / self._writes.rate
 
     def commit(self, when: list[tuple[str, int]], then: list[Put], result: Result,
-               urgency: int = OWNER) -> None:
+               urgency: int = OWNER, until: Instant = ALWAYS) -> None:
+        """`until`: when whoever asked for the change has given it up."""
+
         def done(outcome: Outcome, tries: int) -> None:
             status = outcome.status
             if status == 200:
@@ -202,6 +212,8 @@
                 result("conflict", ABSENT)
             elif status == 400:
                 result("nolease", ABSENT)
+            elif outcome.body == LATE:
+                result("refused", ABSENT)
             elif status in (429, 503) or (status == 0 and not outcome.sent):
                 self.note_contact(False, status, Instant(outcome.began))
                 if status == 429:
@@ -218,7 +230,7 @@
                 result("unknown", ABSENT)
 
         def push(tries: int) -> None:
-            commit = Commit(lambda outcome: done(outcome, tries), when, then)
+            commit = Commit(lambda outcome: done(outcome, tries), when, then, until)
             heapq.heappush(self._queue, (urgency, next(self._order), commit))
             self._queued += len(then)
             self._flush()
@@ -229,6 +241,11 @@
         now = self.cx.now
         while self._queue:
             urgency, _, commit = self._queue[0]
+            if now >= commit.until:
+                heapq.heappop(self._queue)
+                self._queued -= len(commit.then)
+                commit.tag(Outcome(commit.tag, 0, LATE, sent=False, began=now))
+                continue
             if urgency != self.URGENT:
                 if now < self._paused_until:
                     return
--- a/runcourse/core/types.py
+++ b/runcourse/core/types.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from .ids import NO_TOKEN, Attempt, MachineId, Member, Session, TaskId, Token
+from .ids import ALWAYS, NO_TOKEN, Attempt, Instant, MachineId, Member, Session, TaskId, Token
 from .jobs import JobSpec
 from .placement import Size
 
@@ -69,6 +69,9 @@
 # --- inputs ------------------------------------------------------------------------------
 
 
+LATE = "late"  # body of an Outcome: its `until` had passed, so it was not sent
+
+
 class Submit(msgspec.Struct):
     """`spec` is None when the submission is faulty: then `fault` says why."""
 
@@ -123,6 +126,9 @@
 
 
 # --- effects -----------------------------------------------------------------------------
+#
+# `until`: what rests on authority or on a read must not leave later than this. A process may
+# stand still between a decision and its leaving, while its clocks run on.
 
 
 class Answer(msgspec.Struct):
@@ -130,6 +136,7 @@
     status: int
     body: dict[str, Any]
     retry_after: float | None = None
+    until: Instant = ALWAYS
 
 
 class AnswerBeat(msgspec.Struct):
@@ -140,6 +147,7 @@
     token: Token = NO_TOKEN
     orders: tuple[Order, ...] = ()
     owner: Member | None = None
+    until: Instant = ALWAYS
 
 
 class ReadAll(msgspec.Struct):
@@ -157,6 +165,7 @@
     tag: Any
     when: list[tuple[str, int]]
     then: list[tuple[str, Any, int | None]]
+    until: Instant = ALWAYS
 
 
 class Grant(msgspec.Struct):
@@ -177,6 +186,7 @@
     token: Token
     session: Session
     orders: tuple[Order, ...]
+    until: Instant = ALWAYS
 
 
 class Probe(msgspec.Struct):
--- a/runcourse/core/users.py
+++ b/runcourse/core/users.py
@@ -12,7 +12,7 @@
 from ..wire.messages import job_state
 from .authority import Authority
 from .context import Context
-from .ids import ABSENT, JobId, ShareNo, Stamp, Team
+from .ids import ABSENT, JobId, ShareNo, Stamp, Team, later
 from .jobs import UID, Job, Jobs, JobSpec, job_value
 from .machines import Fleet
 from .quota import Quota
@@ -21,6 +21,7 @@
 from .types import Answer, Poll, Say, Submit, Withdraw
 
 MAX_QUEUED = 400  # questions waiting for one catch-up read
+GIVEN_UP_S = 3.0  # a change not sent by then has been refused to its user
 MAX_BACKLOG_S = 0.7  # changes waiting for the write budget
 
 
@@ -82,12 +83,17 @@
         def then() -> None:
             job = self.jobs.get(uid)
             if job is None:
-                self.cx.out.append(Answer(ask.request, 404, {"error": "no such job"}))
+                self._by_read(ask.request, 404, {"error": "no such job"})
             else:
-                self.cx.out.append(Answer(ask.request, 200, self._state(job)))
+                self._by_read(ask.request, 200, self._state(job))
 
         self._after_sync(ask.request, then)
 
+    def _by_read(self, request: int, status: int, body: dict[str, Any]) -> None:
+        """An answer that rests on the newest read: after a pause of this process another node
+        may have given a newer one, so then it must not leave."""
+        self.cx.out.append(Answer(request, status, body, until=self.store.fresh_until))
+
     def _answer_final(self, request: int, uid: JobId) -> bool:
         job = self.jobs.get(uid)
         if job is not None and job.final:
@@ -122,14 +128,14 @@
         if job is None:
             self.refuse(request)
         else:
-            self.cx.out.append(Answer(request, 200, self._state(job)))
+            self._by_read(request, 200, self._state(job))
 
     def _verdict(self, request: int, uid: JobId, status: int, why: str) -> None:
         def then() -> None:
             if self.jobs.get(uid) is not None:
                 self._known(request, uid)
             else:
-                self.cx.out.append(Answer(request, status, {"error": why}))
+                self._by_read(request, status, {"error": why})
 
         self._after_sync(request, then)
 
@@ -167,7 +173,7 @@
                 self.refuse(request, 503, 1.0, "not stored")
 
         self.store.commit([(JOB + uid, ABSENT)], [(JOB + uid, job_value(spec, "accepted"), None)],
-                          result, Store.USER)
+                          result, Store.USER, later(self.cx.now, GIVEN_UP_S))
 
     def tell_owner(self, share: ShareNo, message: dict[str, Any]) -> None:
         owner = self.shares.living_owner(share)
@@ -186,7 +192,7 @@
     def _cancel(self, request: int, uid: JobId, tries: int) -> None:
         job = self.jobs.get(uid)
         if job is None:
-            self.cx.out.append(Answer(request, 404, {"error": "no such job"}))
+            self._by_read(request, 404, {"error": "no such job"})
             return
         if self._answer_final(request, uid):
             return
@@ -209,4 +215,5 @@
 
         # The owner's live key stands: it hears of this, or it loses its authority in time.
         self.store.commit([(key, int(job.stamp)), (LIVE + owner, self.store.stamp(LIVE + owner))],
-                          [(key, job_value(job.spec, "cancelled"), None)], result, Store.OWNER)
+                          [(key, job_value(job.spec, "cancelled"), None)], result, Store.OWNER,
+                          later(self.cx.now, GIVEN_UP_S))
--- a/runcourse/daemon.py
+++ b/runcourse/daemon.py
@@ -39,13 +39,12 @@
         self._state = StateService(*address(platform.services.state, "services.state"))
         self._cloud = Cloud(*address(platform.services.cloud, "services.cloud"),
                             platform.settings.cloud.rps)
-        # Sockets are scarce: the rest is for users, workers' reports and the outside systems.
-        self._workers = Workers(max(16, int(platform.settings.quota.fd_limit * 0.25)))
+        sockets = platform.settings.quota.sockets(platform.settings.nodes)
+        self._workers = Workers(sockets.kept)
         peers = {Member(p.member): address(p.addr, "peers") for p in platform.peers}
         self._links = PeerLinks(Member(platform.member), peers, self._heard, self._operators_ask,
                                 Server(self._serve_internal, 8))
-        limit = max(16, int(platform.settings.quota.fd_limit * 0.65))
-        self._server = Server(self._serve, limit)
+        self._server = Server(self._serve, sockets.served, "/agent/beat", sockets.reports)
         self._requests = 0
         self._answers: dict[int, asyncio.Future[Any]] = {}
         self._malformed: dict[str, int] = {}
@@ -206,14 +205,15 @@
 
     async def _user(self, event: Any) -> Reply:
         answer: t.Answer | None = await self._ask(event, USER_S)
-        if answer is None:
+        # From here to the socket nothing waits: this is where it leaves.
+        if answer is None or self._loop.time() >= answer.until:
             return Reply(503, wire.encode({"error": "no answer in time"}), 1.0)
         return Reply(answer.status, wire.encode(answer.body), answer.retry_after)
 
     async def _beat(self, body: bytes) -> Reply:
         report = wire.report(wire.decode_map(body))
         answer: t.AnswerBeat | None = await self._ask(t.Beat(0, report), BEAT_S)
-        if answer is None or answer.status == 503:
+        if answer is None or answer.status == 503 or self._loop.time() >= answer.until:
             return Reply(503, wire.encode({}))
         if answer.status == 421:
             return Reply(421, wire.encode(wire.redirect(answer.owner)))
--- a/runcourse/net/clients.py
+++ b/runcourse/net/clients.py
@@ -9,8 +9,9 @@
 from typing import Any
 
 from ..core import types as t
+from ..core.ids import ALWAYS
 from ..wire import messages as wire
-from .http import Client, NotSent, Unanswered
+from .http import Client, NotSent, TooLate, Unanswered
 
 log = logging.getLogger("runcourse.net")
 
@@ -31,11 +32,14 @@
         self.malformed: dict[str, int] = {}
 
     async def call(self, client: Client, method: str, target: str, body: Any, timeout_s: float,
-                   read: Callable[[dict[str, Any]], Any], also: tuple[int, ...] = ()) -> Result:
+                   read: Callable[[dict[str, Any]], Any], also: tuple[int, ...] = (),
+                   until: float = ALWAYS) -> Result:
         """(status, what `read` makes of a good answer, whether it may have been sent)"""
         data = wire.encode(body) if body is not None else None
         try:
-            status, answer = await client.request(method, target, data, timeout_s)
+            status, answer = await client.request(method, target, data, timeout_s, until)
+        except TooLate:
+            return 0, t.LATE, False
         except NotSent:
             return 0, None, False
         except Unanswered:
@@ -83,7 +87,7 @@
     async def commit(self, effect: t.Commit) -> Result:
         return await self.call(self._client, "POST", "/commit",
                                wire.transaction(effect.when, effect.then), COMMIT_S,
-                               wire.committed)
+                               wire.committed, until=effect.until)
 
     async def grant(self, ttl_ms: int) -> Result:
         return await self.call(self._renewals, "POST", "/leases", {"life_ms": ttl_ms}, RENEW_S,
@@ -153,7 +157,7 @@
             return 0, None, False
         return await self.call(client, "POST", "/do",
                                wire.commands(effect.token, effect.session, effect.orders),
-                               COMMAND_S, wire.report, also=(409,))
+                               COMMAND_S, wire.report, also=(409,), until=effect.until)
 
     async def status(self, addr: str) -> Result:
         client = self._client(addr)
@@ -169,6 +173,6 @@
                 return None
             client = self._clients[addr] = Client(host, int(port), limit=1)
             while len(self._clients) > self._max:
-                self._clients.popitem(last=False)[1].close()
+                self._clients.popitem(last=False)[1].retire()
         self._clients.move_to_end(addr)
         return client
--- a/runcourse/net/http.py
+++ b/runcourse/net/http.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 import logging
+import math
 from collections import deque
 from collections.abc import Awaitable, Callable
 from typing import NamedTuple
@@ -37,16 +38,28 @@
 class Server:
     """Serves one handler; faults of a client end its connection, never the process."""
 
-    def __init__(self, handler: Handler, max_connections: int) -> None:
+    def __init__(self, handler: Handler, max_connections: int, crowd: str = "",
+                 crowd_connections: int = 0) -> None:
+        """Of the connections, those whose clients ask for the path `crowd` have a limit of their
+        own: beyond it their answers end the connection, so there are always some for others."""
         self._handler = handler
         self._max = max_connections
-        self._open = 0
+        self._crowd = crowd
+        self._crowd_max = crowd_connections
+        self._crowded: set[asyncio.StreamWriter] = set()
+        self._open: set[asyncio.StreamWriter] = set()
+        self._idle: dict[asyncio.StreamWriter, None] = {}  # between requests, oldest first
         self._server: asyncio.Server | None = None
 
     @property
     def open(self) -> int:
         """Connections open now."""
-        return self._open
+        return len(self._open)
+
+    @property
+    def crowded(self) -> int:
+        """Those of the crowd among them."""
+        return len(self._crowded)
 
     async def start(self, host: str, port: int) -> None:
         self._server = await asyncio.start_server(self._serve, host, port, backlog=256)
@@ -66,18 +79,33 @@
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter,
                     begun: bytes = b"") -> None:
         """Serve one connection, of which `begun` was read already."""
-        if self._open >= self._max:
+        if len(self._open) >= self._max and not self._close_oldest_idle():
             writer.transport.abort()
             return
-        self._open += 1
+        self._open.add(writer)
         try:
             await self._converse(reader, writer, begun)
         except (TimeoutError, OSError, h11.LocalProtocolError):
             pass
         finally:
-            self._open -= 1
+            self._forget(writer)
             writer.transport.abort() if writer.transport.is_closing() else writer.close()
 
+    def _forget(self, writer: asyncio.StreamWriter) -> None:
+        self._open.discard(writer)
+        self._crowded.discard(writer)
+        self._idle.pop(writer, None)
+
+    def _close_oldest_idle(self) -> bool:
+        """A client whose connection is closed between two requests opens another one; one that
+        is refused may take the node for dead."""
+        writer = next(iter(self._idle), None)
+        if writer is None:
+            return False
+        self._forget(writer)
+        writer.close()
+        return True
+
     async def _converse(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter,
                         begun: bytes) -> None:
         conn = h11.Connection(h11.SERVER, max_incomplete_event_size=16 * 1024)
@@ -85,7 +113,8 @@
             conn.receive_data(begun)
         while True:
             try:
-                request, body = await self._request(conn, reader)
+                self._idle[writer] = None
+                request, body = await self._request(conn, reader, writer)
             except h11.RemoteProtocolError as problem:
                 await self._refuse(conn, writer, problem.error_status_hint or 400)
                 return
@@ -94,16 +123,26 @@
             if body is None:
                 await self._refuse(conn, writer, 413)
                 return
-            reply = await self._handler(
-                request.method.decode("ascii"), request.target.decode("ascii", "replace"), body)
-            writer.write(self._encode(conn, reply))
+            target = request.target.decode("ascii", "replace")
+            reply = await self._handler(request.method.decode("ascii"), target, body)
+            writer.write(self._encode(conn, reply, self._crowds(writer, target)))
             await writer.drain()
             if conn.our_state is not h11.DONE or conn.their_state is not h11.DONE:
                 return
             conn.start_next_cycle()
 
-    async def _request(self, conn: h11.Connection, reader: asyncio.StreamReader
-                       ) -> tuple[h11.Request | None, bytes | None]:
+    def _crowds(self, writer: asyncio.StreamWriter, target: str) -> bool:
+        """Must this answer end its connection, as there are too many of its kind?"""
+        if not self._crowd or target != self._crowd:
+            self._crowded.discard(writer)
+            return False
+        if writer not in self._crowded and len(self._crowded) >= self._crowd_max:
+            return True
+        self._crowded.add(writer)
+        return False
+
+    async def _request(self, conn: h11.Connection, reader: asyncio.StreamReader,
+                       writer: asyncio.StreamWriter) -> tuple[h11.Request | None, bytes | None]:
         """The next request; no request at the end of the connection, no body if too large."""
         request: h11.Request | None = None
         chunks: list[bytes] = []
@@ -113,6 +152,7 @@
             if event is h11.NEED_DATA:
                 async with asyncio.timeout(IDLE_S if request is None else BODY_S):
                     data = await reader.read(READ_SIZE)
+                self._idle.pop(writer, None)
                 conn.receive_data(data)
             elif isinstance(event, h11.Request):
                 request = event
@@ -152,6 +192,10 @@
     """The request surely did not leave."""
 
 
+class TooLate(NotSent):
+    """It did not leave, as its time had passed."""
+
+
 class Unanswered(Exception):
     """The request may have been carried out, or may yet be."""
 
@@ -175,15 +219,26 @@
         self._idle: deque[_Link] = deque()
         self._slots = asyncio.Semaphore(limit)
         self._host = f"{host}:{port}"
+        self._retired = False
+
+    def retire(self) -> None:
+        """No more of its connections are kept, those in use now included."""
+        self._retired = True
+        self.close()
 
     def close(self) -> None:
         while self._idle:
             self._idle.pop().writer.transport.abort()
 
     async def request(self, method: str, target: str, body: bytes | None,
-                      timeout_s: float) -> tuple[int, bytes]:
+                      timeout_s: float, until: float = math.inf) -> tuple[int, bytes]:
+        """`until`: on the loop's clock, checked once nothing more is waited for before the
+        request leaves; a slot, a connection or a pause of the process may have taken long."""
         async with self._slots:
             link = await self._link()
+            if asyncio.get_running_loop().time() >= until:
+                self._idle.append(link)
+                raise TooLate(self._host)
             try:
                 async with asyncio.timeout(timeout_s):
                     status, answer, keep = await self._exchange(link, method, target, body)
@@ -194,7 +249,7 @@
                                         h11.RemoteProtocolError)):
                     raise Unanswered(f"{self._host}: {problem!r}") from problem
                 raise
-            if keep:
+            if keep and not self._retired:
                 link.conn.start_next_cycle()
                 self._idle.append(link)
             else:
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -1,5 +1,7 @@
 """Faulty settings name file, field and reason; the exit code is 2."""
 
+import subprocess
+import tomllib
 from pathlib import Path
 
 import pytest
@@ -8,6 +10,7 @@
 from runcourse.cli import main
 from runcourse.config import SettingsError, load_operators, load_platform
 
+ROOT = Path(__file__).resolve().parent.parent
 GOOD = SETTINGS.format(api=1, internal=2, cloud=3, state=4)
 
 
@@ -50,3 +53,22 @@
     operators.write_text("(runcourse (sample 8) (headroom 1.5))")
     assert load_operators(operators).sample == 8
     assert main(["check-config", "--config", str(path), "--operators", str(operators)]) == 0
+
+
+@pytest.mark.parametrize(("install", "compiles", "works"), [
+    (0, 0, True), (0, 1, True), (1, 0, False)], ids=["good", "no byte code", "no install"])
+def test_a_failed_install_fails_the_build(tmp_path: Path, install: int, compiles: int,
+                                          works: bool) -> None:
+    """The compile step after it used to hide that."""
+    build = tomllib.loads((ROOT / "deploy" / "service.toml").read_text("utf-8"))["build"]
+    (tmp_path / "requirements.txt").write_text("", "utf-8")
+    fake = tmp_path / "bin" / "python3"
+    fake.parent.mkdir()
+    fake.write_text('#!/bin/sh\ncase "$*" in\n'
+                    f'*"pip install"*) mkdir -p target/deps; exit {install};;\n'
+                    f'*) exit {compiles};;\nesac\n', "utf-8")
+    fake.chmod(0o755)
+    for _ in range(2):  # the second time as well: a half-made folder is no success
+        ended = subprocess.run(["/bin/sh", "-c", build], cwd=tmp_path, check=False,
+                               env={"PATH": f"{fake.parent}:/usr/bin:/bin", "PWD": str(tmp_path)})
+        assert (ended.returncode == 0) is works
--- a/tests/test_daemon.py
+++ b/tests/test_daemon.py
@@ -13,6 +13,8 @@
 
 from runcourse.client import read_status
 from runcourse.config import Operators, load_platform
+from runcourse.core import types as t
+from runcourse.core.ids import Instant
 from runcourse.daemon import Daemon
 from runcourse.net.http import Client
 from runcourse.wire.messages import decode_map, encode
@@ -159,6 +161,37 @@
     play(tmp_path, story)
 
 
+def test_an_answer_that_is_late_is_refused_instead(tmp_path: Path) -> None:
+    """The process stood still between the decision and here."""
+
+    async def story(service: Service) -> None:
+        node = service.daemon.node
+        handle, past = node.handle, Instant(asyncio.get_running_loop().time() - 1.0)
+
+        def late(now: float, event: Any) -> list[Any]:
+            effects = handle(now, event)
+            for effect in effects:
+                if isinstance(effect, t.Answer | t.AnswerBeat | t.Command):
+                    effect.until = past
+            return effects
+
+        assert (await service.ask("POST", "/v1/jobs", JOB))[0] == 201
+        await service.until("/v1/jobs/j-000001", "stage", "done")
+        node.handle = late  # type: ignore[method-assign]
+        assert (await service.ask("GET", "/v1/jobs/j-000001"))[0] == 503
+        worker = next(iter(service.standins.cloud.workers.values()))
+        assert (await service.ask("POST", "/agent/beat", worker.report()))[0] == 503
+        baton = worker.baton
+        machine = next(iter(node.fleet.machines.values()))
+        node.fleet.doubt(machine)  # raises the token; a command would tell the worker
+        async with asyncio.timeout(10):
+            while machine.do_after <= node.cx.now - 0.5 or machine.do_open:
+                await asyncio.sleep(0.02)
+        assert machine.doubted and worker.baton == baton
+
+    play(tmp_path, story)
+
+
 def test_operators_see_status_and_metrics(tmp_path: Path) -> None:
     async def story(service: Service) -> None:
         service.standins.cloud.lasting.add("j-000003/0")
--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -137,6 +137,40 @@
         for m in node.fleet.of_share(holding.number)]
 
 
+def test_cancelled_tasks_that_cannot_be_located_count_against_the_limit() -> None:
+    """A cancelled job's tasks went on where the new owner had not looked yet, and its team got
+    all of its limit besides."""
+    world = World(machines=9, cpus_max=8.0)
+    world.run(4.0)
+    world.submit(spec("j-000011", tasks=3, service=True))
+    world.until(lambda: len(world.on_machines()) == 3, 10)
+    node = next(n for n in world.nodes.values() if n is not None and n.scheduler.work)
+    number = node.shares.of_team("team-0")  # type: ignore[arg-type]
+    holding = node.shares.mine[number]
+    for placement in list(node.fleet.placements(number)):
+        node.fleet._remove(placement, "share lost")
+    holding.settled = False
+    hiding = node.fleet.of_share(number)[:2]
+    for machine in hiding:
+        machine.settled = False
+    job = node.jobs.get("j-000011")  # type: ignore[arg-type]
+    assert job is not None
+    job.accepted = holding.epoch
+    job.stage = "cancelled"
+    node.scheduler.job_changed(job)
+
+    def unlocated() -> float:
+        found = node.scheduler._unlocated(holding, node.scheduler._hidden(holding))
+        return found["team-0"].cpus if found else 0.0  # type: ignore[index]
+
+    assert unlocated() == 6.0
+    hiding[0].settled = True
+    assert unlocated() == 4.0, "no more than the other machine holds"
+    node.cx.now = Instant(node.cx.now + 21.0)
+    node.scheduler.tick()
+    assert unlocated() == 0.0, "by then they are gone"
+
+
 def test_one_failure_amid_successes_is_no_reason_to_vouch() -> None:
     node = owner_of_some(ready())[0]
     other = next(m for m in node.cx.members if m != node.cx.me)
@@ -147,7 +181,11 @@
         return any(isinstance(e, t.Say) and e.message.get("ok") for e in said)
 
     node.store.failing = True
+    node.store.failed_at = node.cx.now
     node.store.last_contact = Instant(node.cx.now - 0.5)
     assert not vouches()
     node.store.last_contact = Instant(node.cx.now - 1.5)
     assert vouches()
+    # Nor is one before this process stood still.
+    node.store.failed_at = Instant(node.cx.now - 5.0)
+    assert not vouches()
--- /dev/null
+++ b/tests/test_pauses.py
@@ -0,0 +1,126 @@
+"""A controller that stands still for seconds while its clocks run on: what it had read, decided
+or half sent before is old when it goes on."""
+
+from typing import Any
+
+import pytest
+from test_failures import ready
+from test_troubles import BOTH, owner_of
+from world import LEASE_S, World, spec
+
+from runcourse.core import types as t
+from runcourse.core.ids import Instant
+from runcourse.core.store import FRESH_S, Store
+
+
+def with_service(members: tuple[str, ...], **settings: Any) -> tuple[World, str]:
+    """A world with replicas, and the member that commands the first of them."""
+    world = World(machines=5, members=members, **settings)
+    world.run(4.0)
+    world.submit(spec("j-000500", service=True, tasks=2))
+    world.until(lambda: len(world.on_machines()) == 2, 10)
+    return world, owner_of(world, world.on_machines()[0][1].id)[0].cx.me
+
+
+@BOTH
+@pytest.mark.parametrize("kind", ["freeze", "stall"])
+@pytest.mark.parametrize("seconds", [0.8, 3.0, 20.0])
+def test_a_node_that_stood_still_breaks_nothing(members: tuple[str, ...], kind: str,
+                                                seconds: float) -> None:
+    world, owner = with_service(members)
+    other = next(m for m in members if m != owner)
+    getattr(world, kind)(owner, seconds)
+    world.submit(spec("j-000501", tasks=3), other)
+    world.run(seconds / 2)
+    if world.withdraw("j-000500", other) == "cancelled":
+        world.run(seconds / 2 + 1.0)
+    world.run(4.0)
+    world.until(lambda: world.poll("j-000501", other) == "done", 4 * LEASE_S)
+    world.until(lambda: world.withdraw("j-000500", owner) == "cancelled", 10)
+    world.until(lambda: not world.on_machines(), 4 * LEASE_S)
+    assert not world.broken
+
+
+@BOTH
+def test_a_lease_taken_over_meanwhile_is_noticed_before_anything_is_commanded(
+        members: tuple[str, ...]) -> None:
+    world, owner = with_service(members)
+    node = world.nodes[owner]
+    assert node is not None
+    shares = set(node.shares.mine)
+    world.freeze(owner, 12.0)
+    world.run(11.0)
+    taken = {s for m, n in world.nodes.items() if n is not None and m != owner
+             for s in n.shares.mine}
+    assert shares <= taken
+    # Before any input tells of it: what its worker reports is not answered, nothing is sent.
+    node.scheduler._dirty = True
+    for machine in list(node.fleet.machines.values()):
+        node.fleet._dirty[machine.id] = None
+        report = world.workers[machine.id].report()
+        effects = node.handle(world.now, t.Beat(-1, report))
+        assert not any(isinstance(e, t.Command) for e in effects)
+        assert all(e.status == 503 for e in effects if isinstance(e, t.AnswerBeat))
+
+
+def test_a_read_answered_before_a_pause_proves_nothing_after_it() -> None:
+    world = ready()
+    store: Store = world.nodes["n0"].store  # type: ignore[union-attr]
+    heard: list[bool] = []
+    for pause, expected in ((0.1, True), (FRESH_S + 0.1, False)):
+        store._reading = False
+        store._read_began = Instant(0.0)
+        store.cx.out.clear()
+        store.sync(heard.append)
+        read = next(e for e in store.cx.out if isinstance(e, t.Follow))
+        store.cx.now = Instant(store.cx.now + pause)
+        read.tag(t.Outcome(read.tag, 200, ([], int(store.applied)), began=store.cx.now - pause))
+        assert heard.pop() is expected
+        assert (store.cx.now < store.fresh_until) is expected
+
+
+def test_what_rests_on_authority_or_a_read_says_until_when_it_may_leave() -> None:
+    world = ready()
+    world.submit(spec("j-000502", service=True))
+    for member, node in world.nodes.items():
+        assert node is not None
+        for machine in list(node.fleet.machines.values()):
+            report = world.workers[machine.id].report()
+            beaten = next(e for e in node.handle(world.now, t.Beat(-1, report))
+                          if isinstance(e, t.AnswerBeat))
+            assert beaten.status == 200
+            assert beaten.until == node.authority.end() < world.now + node.authority.ttl
+        seen: list[t.Answer] = []
+        world.ask("user", member, t.Poll(0, "j-000502"), seen.append)
+        world.run(1.0)
+        assert seen[0].status == 200 and seen[0].until <= world.now + FRESH_S
+
+
+def test_a_change_that_was_given_up_does_not_leave() -> None:
+    world = ready()
+    store: Store = world.nodes["n0"].store  # type: ignore[union-attr]
+    store._paused_until = Instant(world.now + 5.0)
+    results: list[str] = []
+    store.commit([], [("rc/x", 1, None)], lambda result, stamp: results.append(result),
+                 Store.USER, Instant(world.now + 3.0))
+    world.run(2.0)
+    assert not results and store.backlog > 0
+    world.run(1.2)
+    assert results == ["refused"] and not store.failing and "rc/x" not in world.state.data
+
+
+@BOTH
+def test_a_leader_that_stood_still_hires_nothing_twice(members: tuple[str, ...]) -> None:
+    world = World(machines=0, members=members)
+    world.run(4.0)
+    leader = next(m for m, n in world.nodes.items() if n is not None and n.rental.leading)
+    other = next(m for m in members if m != leader)
+    world.capacity = 8
+    world.stall(leader, 9.0)
+    world.submit(spec("j-000503", tasks=2), other)
+    world.until(lambda: world.poll("j-000503", other) == "done", 60)
+    world.run(12.0)
+    assert not world.broken
+    records = {k for k in world.state.data if k.startswith("rc/machine/")
+               and not world.state.data[k][0].get("gone")}
+    assert records == {"rc/machine/" + id for id in world.workers}, "used or returned"
--- a/tests/test_property.py
+++ b/tests/test_property.py
@@ -6,7 +6,8 @@
 
 ACTIONS = ("submit", "service", "spread", "cancel", "crash", "crash_all", "blink", "outage",
            "refuse", "cut_worker", "hold_worker", "cut_node", "cut_peers", "hang", "die", "lossy",
-           "held", "poll", "deaf", "many_deaf", "echo", "alone", "blink_machine")
+           "held", "poll", "deaf", "many_deaf", "echo", "alone", "blink_machine", "freeze",
+           "stall")
 
 
 def act(world: World, action: str, pick: int, number: int) -> None:
@@ -81,6 +82,10 @@
         pairs = [frozenset((member, other)) for other in (*members, "state") if other != member]
         world.cut.update(pairs)
         heal(*pairs)
+    elif action == "freeze":
+        world.freeze(member, 0.4 + pick / 4)
+    elif action == "stall":
+        world.stall(member, 0.4 + pick / 4)
     elif action == "blink_machine" and worker is not None:
         worker.blink()
     elif action == "held":
--- /dev/null
+++ b/tests/test_sockets.py
@@ -0,0 +1,125 @@
+"""Sockets are bounded: workers never take what users, peers and the outside systems need."""
+
+import asyncio
+import contextlib
+from collections.abc import Awaitable, Callable
+
+import pytest
+from test_failures import ready
+from test_guards import owner_of_some
+from world import World
+
+from runcourse.config import Quota
+from runcourse.core import types as t
+from runcourse.core.ids import Instant
+from runcourse.net.http import Client, Reply, Server, TooLate
+
+BEAT = "/agent/beat"
+
+
+@pytest.mark.parametrize("limit", [16, 100, 800, 1024, 1339, 2049, 20_000])
+@pytest.mark.parametrize("nodes", [1, 3, 5])
+def test_the_parts_stay_within_the_limit(limit: int, nodes: int) -> None:
+    parts = Quota(fd_limit=limit).sockets(nodes)
+    assert parts.served - parts.reports >= 2, "some are left for users and health checks"
+    assert min(parts) >= 1
+    if limit >= 100:
+        fixed = 40 + 4 * nodes
+        assert parts.commands + parts.kept + parts.served + fixed <= limit
+
+
+def serve(limit: int, crowd: int, story: Callable[[Server, int], Awaitable[None]]) -> None:
+    async def main() -> None:
+        async def handler(method: str, target: str, body: bytes) -> Reply:
+            return Reply(200, target.encode())
+
+        server = Server(handler, limit, BEAT, crowd)
+        await server.start("127.0.0.1", 0)
+        try:
+            async with asyncio.timeout(20):
+                await story(server, server.port)
+        finally:
+            await server.close()
+
+    asyncio.run(main())
+
+
+def test_more_workers_than_sockets_leave_room_for_users() -> None:
+    async def story(server: Server, port: int) -> None:
+        workers = [Client("127.0.0.1", port, limit=1) for _ in range(30)]
+        users = [Client("127.0.0.1", port, limit=1) for _ in range(3)]
+        for _ in range(2):
+            for worker in workers:
+                assert (await worker.request("POST", BEAT, b"x", 5.0))[0] == 200
+                assert server.crowded <= 5 and server.open <= 8
+            for user in users:
+                assert (await user.request("GET", "/healthz", None, 5.0))[0] == 200
+        for client in (*workers, *users):
+            client.close()
+
+    serve(8, 5, story)
+
+
+def test_the_oldest_idle_connection_makes_room_for_a_new_one() -> None:
+    async def story(server: Server, port: int) -> None:
+        first = await asyncio.open_connection("127.0.0.1", port)
+        clients = [Client("127.0.0.1", port, limit=1) for _ in range(4)]
+        for client in clients:
+            assert (await client.request("GET", "/healthz", None, 5.0))[0] == 200
+        assert await first[0].read() == b"", "it was closed, as the oldest"
+        first[1].close()
+        assert server.open <= 4
+        for client in clients:
+            client.close()
+
+    serve(4, 2, story)
+
+
+def test_a_request_whose_time_has_passed_does_not_leave() -> None:
+    async def story(server: Server, port: int) -> None:
+        client = Client("127.0.0.1", port, limit=1)
+        now = asyncio.get_running_loop().time()
+        with pytest.raises(TooLate):
+            await client.request("POST", "/do", b"x", 5.0, until=now - 0.1)
+        assert (await client.request("POST", "/do", b"x", 5.0, until=now + 60))[0] == 200
+        client.close()
+
+    serve(4, 2, story)
+
+
+def test_a_retired_client_keeps_no_connection() -> None:
+    async def story(server: Server, port: int) -> None:
+        client = Client("127.0.0.1", port, limit=1)
+        pending = asyncio.ensure_future(client.request("GET", "/status", None, 5.0))
+        await asyncio.sleep(0)
+        client.retire()
+        assert (await pending)[0] == 200
+        assert not client._idle
+        with contextlib.suppress(OSError):
+            client.close()
+
+    serve(4, 2, story)
+
+
+def test_commands_open_at_once_are_bounded_and_none_is_lost() -> None:
+    """All machines doubted at once, as after a restart of everything: the doubted ones take no
+    more than half of the commands there may be, and all are told in the end."""
+    world: World = ready(machines=12)
+    node, _ = owner_of_some(world)
+    fleet = node.fleet
+    fleet._most_open = 4
+    machines = list(fleet.machines.values())
+    assert len(machines) >= 3
+    for machine in machines:
+        machine.do_after = Instant(0.0)
+        fleet.doubt(machine)
+    told: set[str] = set()
+    for _ in range(len(machines)):
+        fleet.push()
+        commands = [e for e in node.cx.out if isinstance(e, t.Command)]
+        node.cx.out.clear()
+        assert fleet._open <= 2
+        told |= {c.addr for c in commands}
+        for command in commands:
+            command.tag(t.Outcome(command.tag, 0, None, sent=False, began=node.cx.now))
+    assert told == {m.addr for m in machines} and not fleet._open
--- a/tests/world.py
+++ b/tests/world.py
@@ -270,6 +270,10 @@
         self.state = State(self)
         self.nodes: dict[str, Node | None] = dict.fromkeys(members)
         self.generation = dict.fromkeys(members, 0)
+        # Nodes that stand still: what arrives, and what they were about to send, waits.
+        self.frozen: dict[str, float] = {}
+        self.waiting: dict[str, list[Callable[[], None]]] = {m: [] for m in members}
+        self.stalling: dict[str, float] = {}
         self.workers: dict[str, Worker] = {}
         self.specs: dict[Any, JobSpec] = {}
         self.finished: set[Any] = set()
@@ -329,17 +333,53 @@
     def crash(self, member: str) -> None:
         self.nodes[member] = None
         self.generation[member] += 1
+        self.frozen.pop(member, None)
+        self.stalling.pop(member, None)
+        self.waiting[member].clear()
+
+    def freeze(self, member: str, seconds: float) -> None:
+        """The process stands still, its clocks run on; its sockets go on taking what comes."""
+        if self.nodes[member] is None or member in self.frozen:
+            return
+        self.frozen[member] = self.now + seconds
+        generation = self.generation[member]
+
+        def thaw() -> None:
+            if self.generation[member] != generation:
+                return
+            del self.frozen[member]
+            waiting, self.waiting[member] = self.waiting[member], []
+            for what in waiting:
+                what()
+
+        self.after(seconds, thaw)
+
+    def stall(self, member: str, seconds: float) -> None:
+        """As `freeze`, but between the last check of what is sent next and its leaving."""
+        if member not in self.frozen:
+            self.stalling[member] = seconds
 
     def _tick(self, member: str, generation: int) -> None:
         if self.generation[member] == generation and self.nodes[member] is not None:
-            self.feed(member, t.Tick())
+            if member not in self.frozen:  # timers that fall due meanwhile don't pile up
+                self.feed(member, t.Tick())
             self.after(0.05, lambda: self._tick(member, generation))
 
     def feed(self, member: str, event: Any) -> None:
         node = self.nodes[member]
-        if node is not None:
-            for effect in node.handle(self.now, event):
-                self._carry_out(member, effect)
+        if node is None:
+            return
+        if member in self.frozen:
+            self.waiting[member].append(lambda: self.feed(member, event))
+            return
+        effects = [e for e in node.handle(self.now, event) if not isinstance(e, t.Log)]
+        if effects and member in self.stalling:
+            self.freeze(member, self.stalling.pop(member))
+            for effect in effects:
+                self.waiting[member].append(lambda e=effect: self._carry_out(member, e))  # type: ignore[misc]
+            return
+        for effect in effects:
+            self._carry_out(member, effect)
 
     def reachable(self, a: str, b: str) -> bool:
         return frozenset((a, b)) not in self.cut
