--- a/runcourse/daemon.py
+++ b/runcourse/daemon.py
@@ -54,6 +54,8 @@
         await self.start()
         gc.collect()
         gc.freeze()
+        # What a turn makes is freed by its counts; cycles are few, and looking for them costs.
+        gc.set_threshold(10_000, 20, 20)
         while True:
             self._feed(t.Tick())
             await asyncio.sleep(TICK_S)
@@ -211,7 +213,7 @@
         return Reply(answer.status, wire.encode(answer.body), answer.retry_after)
 
     async def _beat(self, body: bytes) -> Reply:
-        report = wire.report(wire.decode_map(body))
+        report = wire.report(body)
         answer: t.AnswerBeat | None = await self._ask(t.Beat(0, report), BEAT_S)
         if answer is None or answer.status == 503 or self._loop.time() >= answer.until:
             return Reply(503, wire.encode({}))
--- a/runcourse/net/clients.py
+++ b/runcourse/net/clients.py
@@ -32,7 +32,7 @@
         self.malformed: dict[str, int] = {}
 
     async def call(self, client: Client, method: str, target: str, body: Any, timeout_s: float,
-                   read: Callable[[dict[str, Any]], Any], also: tuple[int, ...] = (),
+                   read: Callable[[bytes], Any], also: tuple[int, ...] = (),
                    until: float = ALWAYS) -> Result:
         """(status, what `read` makes of a good answer, whether it may have been sent)"""
         data = wire.encode(body) if body is not None else None
@@ -47,7 +47,7 @@
         if status != 200 and status not in also:
             return status, None, True
         try:
-            return status, read(wire.decode_map(answer)), True
+            return status, read(answer), True
         except wire.Malformed as problem:
             place = f"{client.host}:{client.port} {method} {target.partition('?')[0]}"
             if place not in self.malformed:
@@ -115,7 +115,7 @@
             await asyncio.sleep(at - loop.time())
 
     async def _paced(self, method: str, target: str, body: Any,
-                     read: Callable[[dict[str, Any]], Any]) -> Result:
+                     read: Callable[[bytes], Any]) -> Result:
         await self._turn()
         return await self.call(self._client, method, target, body, CLOUD_S, read)
 
--- a/runcourse/net/http.py
+++ b/runcourse/net/http.py
@@ -8,6 +8,7 @@
 import math
 from collections import deque
 from collections.abc import Awaitable, Callable
+from functools import lru_cache
 from typing import NamedTuple
 
 import h11
@@ -35,6 +36,31 @@
 Handler = Callable[[str, str, bytes], Awaitable[Reply]]
 
 
+_END = h11.EndOfMessage()
+
+
+# h11 checks every header of every message that it is told to send; few differ.
+
+
+@lru_cache(maxsize=1024)
+def _response(status: int, content_type: str, length: int, retry_after: int | None,
+              close: bool) -> h11.Response:
+    headers = [("Content-Type", content_type), ("Content-Length", str(length))]
+    if retry_after is not None:
+        headers.append(("Retry-After", str(retry_after)))
+    if close:
+        headers.append(("Connection", "close"))
+    return h11.Response(status_code=status, headers=headers, reason=REASONS.get(status, b""))
+
+
+@lru_cache(maxsize=1024)
+def _request_head(method: str, target: str, host: str, length: int | None) -> h11.Request:
+    headers = [("Host", host)]
+    if length is not None:
+        headers += [("Content-Type", CONTENT_TYPE), ("Content-Length", str(length))]
+    return h11.Request(method=method, target=target, headers=headers)
+
+
 class Server:
     """Serves one handler; faults of a client end its connection, never the process."""
 
@@ -48,7 +74,8 @@
         self._crowd_max = crowd_connections
         self._crowded: set[asyncio.StreamWriter] = set()
         self._open: set[asyncio.StreamWriter] = set()
-        self._idle: dict[asyncio.StreamWriter, None] = {}  # between requests, oldest first
+        # Without a whole request's head, oldest first; since when.
+        self._idle: dict[asyncio.StreamWriter, float] = {}
         self._server: asyncio.Server | None = None
 
     @property
@@ -63,6 +90,20 @@
 
     async def start(self, host: str, port: int) -> None:
         self._server = await asyncio.start_server(self._serve, host, port, backlog=256)
+        self._sweep()
+
+    def _sweep(self) -> None:
+        """One timer for all connections: thousands of them, set and cancelled for each request,
+        took more time than the reading."""
+        if self._server is None or not self._server.is_serving():
+            return
+        loop = asyncio.get_running_loop()
+        for writer, since in list(self._idle.items()):
+            if loop.time() - since < IDLE_S:
+                break
+            self._forget(writer)
+            writer.close()
+        loop.call_later(IDLE_S / 8, self._sweep)
 
     @property
     def port(self) -> int:
@@ -113,7 +154,7 @@
             conn.receive_data(begun)
         while True:
             try:
-                self._idle[writer] = None
+                self._idle[writer] = asyncio.get_running_loop().time()
                 request, body = await self._request(conn, reader, writer)
             except h11.RemoteProtocolError as problem:
                 await self._refuse(conn, writer, problem.error_status_hint or 400)
@@ -150,11 +191,14 @@
         while True:
             event = conn.next_event()
             if event is h11.NEED_DATA:
-                async with asyncio.timeout(IDLE_S if request is None else BODY_S):
+                if request is None:  # no timer for each: see `_sweep`
                     data = await reader.read(READ_SIZE)
-                self._idle.pop(writer, None)
+                else:
+                    async with asyncio.timeout(BODY_S):
+                        data = await reader.read(READ_SIZE)
                 conn.receive_data(data)
             elif isinstance(event, h11.Request):
+                self._idle.pop(writer, None)
                 request = event
             elif isinstance(event, h11.Data):
                 size += len(event.data)
@@ -167,16 +211,12 @@
                 return None, b""
 
     def _encode(self, conn: h11.Connection, reply: Reply, close: bool = False) -> bytes:
-        headers = [("Content-Type", reply.content_type), ("Content-Length", str(len(reply.body)))]
-        if reply.retry_after is not None:
-            headers.append(("Retry-After", str(max(1, round(reply.retry_after)))))
-        if close:
-            headers.append(("Connection", "close"))
-        parts = [conn.send(h11.Response(status_code=reply.status, headers=headers,
-                                        reason=REASONS.get(reply.status, b"")))]
+        after = None if reply.retry_after is None else max(1, round(reply.retry_after))
+        parts = [conn.send(_response(reply.status, reply.content_type, len(reply.body), after,
+                                     close))]
         if reply.body:
             parts.append(conn.send(h11.Data(data=reply.body)))
-        parts.append(conn.send(h11.EndOfMessage()))
+        parts.append(conn.send(_END))
         return b"".join(p for p in parts if p)
 
     async def _refuse(self, conn: h11.Connection, writer: asyncio.StreamWriter,
@@ -271,14 +311,12 @@
 
     async def _exchange(self, link: _Link, method: str, target: str, body: bytes | None
                         ) -> tuple[int, bytes, bool]:
-        headers = [("Host", self._host)]
-        if body is not None:
-            headers += [("Content-Type", CONTENT_TYPE), ("Content-Length", str(len(body)))]
         conn = link.conn
-        parts = [conn.send(h11.Request(method=method, target=target, headers=headers))]
+        parts = [conn.send(_request_head(method, target, self._host,
+                                         None if body is None else len(body)))]
         if body:
             parts.append(conn.send(h11.Data(data=body)))
-        parts.append(conn.send(h11.EndOfMessage()))
+        parts.append(conn.send(_END))
         link.writer.write(b"".join(p for p in parts if p))
         status = 0
         chunks: list[bytes] = []
--- a/runcourse/wire/messages.py
+++ b/runcourse/wire/messages.py
@@ -173,26 +173,34 @@
 class _Leg(Struct, frozen=True):
     leg: Text
     attempt: Annotated[int, Meta(ge=0)] = msgspec.field(name="try")
-    stage: str = "running"
+    stage: str | None = None
     cause: str | None = None
     stored: bool | None = None
 
 
 class _Beat(Struct, frozen=True):
+    """Null equals omitted. Decoded in one step, since most of all messages are reports."""
+
     host: Text
     tenure: Natural
     tick: Natural
-    baton: Natural = 0
-    addr: str = ""
-    hull: str = ""
-    yard: str = ""
-    lendable: bool = False
+    baton: Natural | None = None
+    addr: str | None = None
+    hull: str | None = None
+    yard: str | None = None
+    lendable: bool | None = None
     warning_s: float | None = None
     legs: list[_Leg] | None = None
 
 
-def report(body: dict[str, Any]) -> Report:
-    b = _convert(body, _Beat)
+_beat_decoder = msgspec.msgpack.Decoder(_Beat)
+
+
+def report(body: bytes) -> Report:
+    try:
+        b = _beat_decoder.decode(body)
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as problem:
+        raise Malformed(str(problem)) from problem
     tasks = []
     for leg in b.legs or ():
         try:
@@ -202,13 +210,14 @@
         tasks.append(TaskReport(
             task=task,
             attempt=Attempt(leg.attempt),
-            stage=_STAGES.get(leg.stage, "running"),
+            stage=_STAGES.get(leg.stage or "", "running"),
             cause=_CAUSES.get(leg.cause or "", "error") if leg.stage == "ended" else "",
             saved=bool(leg.stored),
         ))
     return Report(
-        machine=MachineId(b.host), addr=b.addr, type=b.hull, zone=b.yard, spot=b.lendable,
-        session=Session(b.tenure), seq=b.tick, token=Token(b.baton), notice_s=b.warning_s,
+        machine=MachineId(b.host), addr=b.addr or "", type=b.hull or "", zone=b.yard or "",
+        spot=bool(b.lendable), session=Session(b.tenure), seq=b.tick, token=Token(b.baton or 0),
+        notice_s=b.warning_s,
         tasks=tuple(tasks),
     )
 
@@ -272,8 +281,8 @@
     hosts: list[Text]
 
 
-def catalog(body: dict[str, Any]) -> tuple[MachineType, ...]:
-    types = _convert(body, _Catalog).hulls
+def catalog(body: bytes) -> tuple[MachineType, ...]:
+    types = _convert(decode_map(body), _Catalog).hulls
     return tuple(
         MachineType(name=h.label, cpus=h.vcpus, memory=h.ram_gb, gpus=h.gpus,
                     cache_gb=h.cache_gb, fetch_gb_per_s=h.pull_gb_per_s, price=h.hourly,
@@ -282,8 +291,8 @@
     )
 
 
-def cloud_list(body: dict[str, Any]) -> tuple[tuple[CloudMachine, ...], bool]:
-    page = _convert(body, _CloudList)
+def cloud_list(body: bytes) -> tuple[tuple[CloudMachine, ...], bool]:
+    page = _convert(decode_map(body), _CloudList)
     return tuple(
         CloudMachine(id=MachineId(h.uid), addr=h.addr, type=h.hull, zone=h.yard,
                      spot=h.lendable, stage=h.stage, age_s=h.age_s)
@@ -299,8 +308,8 @@
     return {"hire": name, "hull": type_, "yard": zone, "lendable": spot, "number": number}
 
 
-def hired(body: dict[str, Any]) -> tuple[MachineId, ...]:
-    return tuple(MachineId(h) for h in _convert(body, _Hired).hosts)
+def hired(body: bytes) -> tuple[MachineId, ...]:
+    return tuple(MachineId(h) for h in _convert(decode_map(body), _Hired).hosts)
 
 
 def release(machines: Iterable[MachineId]) -> dict[str, Any]:
@@ -346,12 +355,12 @@
 Change = tuple[str, Any, int]  # key, value or None for a dropped key, stamp
 
 
-def page(body: dict[str, Any]) -> Page:
-    return _convert(body, Page)
+def page(body: bytes) -> Page:
+    return _convert(decode_map(body), Page)
 
 
-def events(body: dict[str, Any]) -> tuple[list[Change], int]:
-    e = _convert(body, _Events)
+def events(body: bytes) -> tuple[list[Change], int]:
+    e = _convert(decode_map(body), _Events)
     changes: list[Change] = []
     for event in e.events:
         if event.write is not None:
@@ -361,12 +370,12 @@
     return changes, e.epoch
 
 
-def committed(body: dict[str, Any]) -> int:
-    return _convert(body, _Epoch).epoch
+def committed(body: bytes) -> int:
+    return _convert(decode_map(body), _Epoch).epoch
 
 
-def granted(body: dict[str, Any]) -> int:
-    return _convert(body, _Grant).grant
+def granted(body: bytes) -> int:
+    return _convert(decode_map(body), _Grant).grant
 
 
 def transaction(when: Iterable[tuple[str, int]],
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -28,7 +28,7 @@
 
 
 def test_a_report() -> None:
-    report = wire.report(wire.decode_map(wire.encode(BEAT)))
+    report = wire.report(wire.encode(BEAT))
     assert (report.session, report.seq, report.token, report.notice_s) == (1, 88, 41, None)
     assert report.tasks[0] == t.TaskReport(TaskId(JobId("j-000412"), 3), Attempt(2), "running")
     assert (report.tasks[1].stage, report.tasks[1].cause) == ("ended", "done")
@@ -37,11 +37,19 @@
 @pytest.mark.parametrize("legs", [[{"leg": "j-1", "try": 1}], [{"leg": "j-1/x", "try": 1}], 3])
 def test_a_malformed_report(legs: object) -> None:
     with pytest.raises(wire.Malformed):
-        wire.report({**BEAT, "legs": legs})
+        wire.report(wire.encode({**BEAT, "legs": legs}))
+
+
+def test_nulls_in_a_report_equal_omissions() -> None:
+    bare = {k: BEAT[k] for k in ("host", "tenure", "tick")}
+    nulls = {**dict.fromkeys(BEAT), **bare}
+    assert wire.report(wire.encode(nulls)) == wire.report(wire.encode(bare))
+    with pytest.raises(wire.Malformed):
+        wire.report(wire.encode([bare]))
 
 
 def test_tokens_may_be_large() -> None:
-    assert wire.report({**BEAT, "baton": 2**63 + 5}).token == 2**63 + 5
+    assert wire.report(wire.encode({**BEAT, "baton": 2**63 + 5})).token == 2**63 + 5
 
 
 def test_orders() -> None:
@@ -56,12 +64,12 @@
 
 
 def test_state_service_messages() -> None:
-    changes, epoch = wire.events({"epoch": 433, "events": [
-        {"write": "c/9", "value": {"a": 1}, "stamp": 433}, {"drop": "c/d", "stamp": 432}]})
+    changes, epoch = wire.events(wire.encode({"epoch": 433, "events": [
+        {"write": "c/9", "value": {"a": 1}, "stamp": 433}, {"drop": "c/d", "stamp": 432}]}))
     assert epoch == 433
     assert changes == [("c/9", {"a": 1}, 433), ("c/d", None, 432)]
     assert wire.transaction([("a/b", 0)], [("a/b", {"x": 1}, 7), ("c/d", None, None)]) == {
         "when": [{"key": "a/b", "stamp": 0}],
         "then": [{"write": "a/b", "value": {"x": 1}, "grant": 7}, {"drop": "c/d"}]}
     with pytest.raises(wire.Malformed):
-        wire.committed({"epoch": "x"})
+        wire.committed(wire.encode({"epoch": "x"}))
