--- a/runcourse/core/scheduler.py
+++ b/runcourse/core/scheduler.py
@@ -22,6 +22,8 @@
 FLUSH_GAP_S = 1.0  # between two stored changes of one job that do not complete it
 RETRY_STORE_S = 0.3  # after a change that was not stored
 AGED_S = 120.0  # a job that has not begun by then goes first, or smaller ones pass it for ever
+PLENTY = 2.0  # an image is held by enough machines: twice its part of what waits
+HELD_EVERY_S = 1.0  # between two counts of what images the machines hold
 AT_RISK = 0.1  # part of a share's replicas, by CPUs, that may gather on one machine
 WEIGHED_PER_S = 50_000.0  # machines weighed in a turn put the next one off by as much
 
@@ -75,6 +77,7 @@
         self._ending: dict[JobId, tuple[Job, Instant]] = {}  # cancelled; until when they may run
         self._finished: dict[JobId, Work] = {}  # with finishes that are not stored yet
         self._weighed = 0
+        self._held: dict[ShareNo, tuple[Instant, dict[str, float]]] = {}  # CPUs that hold an image
         self._lasting = 0.0  # CPUs of services in the share whose turn it is
         # Sizes for which, in this turn, nothing could be stopped to make room; by who asks.
         self._hopeless: dict[tuple[Any, ...], list[Size]] = {}
@@ -280,25 +283,85 @@
         unmet: list[tuple[Job, int, tuple[str, ...]]] = []
         # Sizes that found no room in this turn: what is no smaller won't find any either.
         full: dict[tuple[Any, ...], list[Size]] = {}
+        least = Size(*map(min, zip(*(work.job.size for work in waiting), strict=True)))
+        roomy = [m for m in usable if least.fits(m.room)]
+        plenty = self._plentiful(holding, waiting, usable, roomy)
+        later: list[Work] = []
         for work in waiting:
-            spec, size = work.job.spec, work.job.size
-            kind = (spec.spot, spec.types, spec.zone)
-            missing = len(work.pending)
-            if any(small.fits(size) for small in full.get(kind, ())):
-                work.waits = "no machine with room"
-                if not spec.gang:
-                    self._make_room(work, usable, claimed, missing)
+            picky = (work.job.spec.image in plenty and not work.job.spec.service
+                     and not work.job.spec.gang and now >= work.aged_until)
+            if picky:
+                later.append(work)
+                held = [m for m in roomy if self._fetches_or_holds(work.job.spec.image, m)]
+                self._serve(work, usable, held, claimed, unlocated, {}, False)
             else:
-                fits = [m for m in usable if size.fits(m.room) and m.id not in claimed
-                        and self._permits(work.job, m)]
-                if not fits:
-                    full.setdefault(kind, []).append(size)
-                missing = self._fill(work, usable, fits, claimed, unlocated)
-            if missing:
-                closed = tuple(z for z in sorted(work.zones) if not self._zone_open(work, z))
-                unmet.append((work.job, missing, closed))
+                self._serve_last(work, usable, roomy, claimed, unlocated, full, unmet)
+        for work in later:
+            self._serve_last(work, usable, roomy, claimed, unlocated, full, unmet)
         self.unmet[holding.number] = unmet
 
+    def _serve_last(self, work: Work, usable: list[Machine], roomy: list[Machine],
+                    claimed: set[MachineId], unlocated: dict[Team, Size],
+                    full: dict[tuple[Any, ...], list[Size]],
+                    unmet: list[tuple[Job, int, tuple[str, ...]]]) -> None:
+        missing = self._serve(work, usable, roomy, claimed, unlocated, full, True)
+        if missing:
+            closed = tuple(z for z in sorted(work.zones) if not self._zone_open(work, z))
+            unmet.append((work.job, missing, closed))
+
+    def _serve(self, work: Work, usable: list[Machine], roomy: list[Machine],
+               claimed: set[MachineId], unlocated: dict[Team, Size],
+               full: dict[tuple[Any, ...], list[Size]], last: bool) -> int:
+        """Start what fits on the `roomy` machines; returns how many tasks found none. Only the
+        `last` try may stop others."""
+        if not work.pending:
+            return 0
+        spec, size = work.job.spec, work.job.size
+        kind = (spec.spot, spec.types, spec.zone)
+        if any(small.fits(size) for small in full.get(kind, ())):
+            work.waits = "no machine with room"
+            if last and not spec.gang:
+                self._make_room(work, usable, claimed, len(work.pending))
+            return len(work.pending)
+        fits = [m for m in roomy if size.fits(m.room) and m.id not in claimed
+                and self._permits(work.job, m)]
+        if not fits:
+            full.setdefault(kind, []).append(size)
+            if not last:
+                return len(work.pending)
+        return self._fill(work, usable, fits, claimed, unlocated, last)
+
+    def _plentiful(self, holding: Holding, waiting: list[Work], usable: list[Machine],
+                   roomy: list[Machine]) -> frozenset[str]:
+        """Extension: while more waits than there is room for, images that enough machines hold
+        for their part of what waits. Their tasks leave machines without the image to others
+        whose image is there, as fetching takes a good part of a short task's time."""
+        wanted: dict[str, float] = {}
+        for work in waiting:
+            cpus = len(work.pending) * work.job.size.cpus
+            wanted[work.job.spec.image] = wanted.get(work.job.spec.image, 0.0) + cpus
+        total = sum(wanted.values())
+        if not usable or not total or total <= sum(m.room.cpus for m in roomy):
+            return frozenset()
+        at, held = self._held.get(holding.number, (LONG_AGO, {}))
+        if self.cx.now >= at + HELD_EVERY_S:
+            held = {}
+            for machine in usable:
+                assert machine.type is not None
+                images = {p.job.spec.image for p in machine.placements.values()
+                          if p.job is not None and p.stage in ("sent", "fetching")}
+                for image in images.union(machine.images):
+                    held[image] = held.get(image, 0.0) + machine.type.cpus
+            self._held[holding.number] = (self.cx.now, held)
+        cpus = sum(m.type.cpus for m in usable if m.type is not None)
+        return frozenset(image for image, part in wanted.items()
+                         if held.get(image, 0.0) / cpus >= min(PLENTY * part / total, 1.0))
+
+    def _fetches_or_holds(self, image: str, machine: Machine) -> bool:
+        return image in machine.images or any(
+            p.stage in ("sent", "fetching") and p.job is not None and p.job.spec.image == image
+            for p in machine.placements.values())
+
     def _sample(self, machines: list[Machine], least: int = 0) -> list[Machine]:
         """All machines while a turn's budget lasts; then, as more is asked than a turn can
         weigh, a random sample."""
@@ -416,7 +479,7 @@
         return lasting + 0.2 * machine.used.cpus / cpus - dear
 
     def _fill(self, work: Work, usable: list[Machine], fits: list[Machine],
-              claimed: set[MachineId], unlocated: dict[Team, Size]) -> int:
+              claimed: set[MachineId], unlocated: dict[Team, Size], last: bool) -> int:
         """Start what fits; returns how many tasks found no machine. `fits` are the machines
         that have room for one task at the least."""
         job = work.job
@@ -469,7 +532,8 @@
         missing = len(work.pending) - held
         if missing > 0:
             work.waits = "no machine with room"
-            self._make_room(work, usable, claimed, missing)
+            if last:
+                self._make_room(work, usable, claimed, missing)
         return missing
 
     def _room_with_image(self, work: Work, usable: list[Machine], fits: list[Machine],
