Shares yield machines by what they ask for, also while all of them are short

Cause, from the same logs: with eight teams on five shares one share had 384 CPUs and 1,584 asked for, another 1,456 and 1,600; no machine fell empty, so none moved.

--- a/runcourse/core/node.py
+++ b/runcourse/core/node.py
@@ -284,7 +284,7 @@
                 self.rental.told_load(message)
             case "unknown":
                 self.rental.told_unknown(message)
-            case "retire" | "give" | "drain" | "given" | "vacate":
+            case "retire" | "give" | "drain" | "given" | "vacate" | "yield":
                 self.rental.asked(message)
             case "beat":
                 report = msgspec.convert(message["report"], Report)
--- a/runcourse/core/rental.py
+++ b/runcourse/core/rental.py
@@ -35,6 +35,9 @@
 MAX_RELEASE = 100
 VACATE_AFTER_S = 2.0  # work that cheap machines can't take waits so long for an empty one
 VACATE_S = 15.0  # within which a machine promised to another share must be empty
+BALANCE_EVERY_S = 2.0
+UNEVEN = 1.25  # by how much more a share must ask for its CPUs before another yields some
+YIELD_S = 45.0  # within which a machine that another share asked for must fall empty
 REMEMBERED = 3000  # ids of returned machines kept in the store
 
 Place = tuple[str, str, bool]  # type, zone, spot
@@ -115,6 +118,7 @@
         self._peaks: deque[tuple[Instant, float]] = deque()
         self._drain_at = cx.now
         self._vacate_at = cx.now
+        self._balance_at = cx.now
         self._promised: dict[MachineId, tuple[ShareNo, Instant]] = {}  # to be given when empty
         self._summed_at = cx.now
 
@@ -486,6 +490,7 @@
         self._move_idle(unmet, idle)
         self._hire_for(unmet)
         self._vacate_for(unmet)
+        self._balance()
         self._keep_spare(idle)
 
     def _left_over(self, needs: list[Need], booting: dict[Place, float]) -> list[Need]:
@@ -559,6 +564,53 @@
                                         "need": need.raw})
                 return
 
+    def _balance(self) -> None:
+        """Shares are sized by what waits and runs. While all of them are short no machine falls
+        empty by itself, so the share that has most for what it asks yields some to the one that
+        has least."""
+        now = self.cx.now
+        if now < self._balance_at:
+            return
+        asked = {s: load.used + sum(n.size.cpus * n.asked for n in load.needs)
+                 for s, load in self.loads.items() if now - load.at < 5.0}
+        total, capacity = sum(asked.values()), sum(self._cpus[s] for s in asked)
+        if len(asked) < 2 or total <= capacity or capacity <= 0:
+            return
+        self._balance_at = Instant(now + BALANCE_EVERY_S)
+        lacks = {s: capacity * asked[s] / total - self._cpus[s] for s in asked}
+        to = max(lacks, key=lambda s: lacks[s])
+        share = min(lacks, key=lambda s: lacks[s])
+        if asked[to] * self._cpus[share] < UNEVEN * asked[share] * self._cpus[to]:
+            return
+        need = max((n for n in self.loads[to].needs if n.asked > 0),
+                   key=lambda n: n.size.cpus * n.asked, default=None)
+        # Half of it: what is asked for changes while machines fall empty.
+        cpus = min(lacks[to], -lacks[share]) / 2
+        if need is not None:
+            self._ask_owner(share, {"t": "yield", "share": share, "to": to, "cpus": cpus,
+                                    "need": need.raw})
+
+    def _yield(self, message: dict[str, Any]) -> None:
+        """Machines of that many CPUs, those promised before included, go as they fall empty."""
+        share, to = ShareNo(int(message["share"])), ShareNo(int(message["to"]))
+        need = Need(message["need"])
+        if (not self.shares.may_command(share) or to == share
+                or not 0 <= to < len(self.cx.members)):
+            return
+        left = float(message["cpus"])
+        for id, (other, _) in self._promised.items():
+            machine = self.fleet.machines.get(id)
+            if machine is not None and machine.type is not None and other == to:
+                left -= machine.type.cpus
+        for machine in self.scheduler.soon_empty(
+                share, lambda m: self._serves(need, m.record.type, m.record.zone, m.record.spot)
+                and m.type is not None and need.size.fits(m.type.size)):
+            assert machine.type is not None
+            if machine.type.cpus <= left:
+                left -= machine.type.cpus
+                machine.draining_until = Instant(self.cx.now + YIELD_S)
+                self._promised[machine.id] = (to, machine.draining_until)
+
     def _vacate(self, message: dict[str, Any]) -> None:
         share, to = ShareNo(int(message["share"])), ShareNo(int(message["to"]))
         need = Need(message["need"])
@@ -745,6 +797,9 @@
         if message["t"] == "vacate":
             self._vacate(message)
             return
+        if message["t"] == "yield":
+            self._yield(message)
+            return
         if message["t"] == "drain":
             share = ShareNo(int(message["share"]))
             if self.shares.may_command(share):
--- a/runcourse/core/scheduler.py
+++ b/runcourse/core/scheduler.py
@@ -731,6 +731,19 @@
             self.fleet.stop(placement, self._grace(placement))
         return machine
 
+    def soon_empty(self, share: ShareNo, serves: Callable[[Machine], bool]) -> list[Machine]:
+        """Machines without replicas, those first that fall empty soonest as it seems, and idle
+        for the least until then."""
+        now = self.cx.now
+        found: list[tuple[float, str, Machine]] = []
+        for machine in self.fleet.of_share(share):
+            if machine.lasting > 0 or not self.fleet.usable(machine) or not serves(machine):
+                continue
+            left = [max(0.0, p.job.spec.estimate_s - (now - p.ran_since if p.ran_since else 0.0))
+                    for p in machine.placements.values() if p.active and p.job is not None]
+            found.append((max(left, default=0.0) * max(len(left), 1), machine.id, machine))
+        return [machine for _, _, machine in sorted(found, key=lambda f: f[:2])]
+
     def _move_away(self, machine: Machine) -> None:
         """Move the replicas if the others have room and hold their images: then a move takes
         a moment only, and the empty machine can be returned."""
