What grew with all that ever was is bounded by what is: ids, versions of dropped keys, redirects

Ids of returned machines are remembered by the largest fleet seen, not a fixed 3,000; questions that wait are bounded by connections; versions of dropped keys are forgotten once no read can bring the key back.

--- a/runcourse/core/node.py
+++ b/runcourse/core/node.py
@@ -126,6 +126,9 @@
             self.cx.out.append(Say(None, {
                 "t": "hello", "contact": self._contact(), "running": self.fleet.running_counts(),
                 "silent": self.fleet.silent()}))
+            for seen in (self._redirected, self._relaying):
+                for id in [id for id in seen if id not in self.fleet.records]:
+                    del seen[id]
         for number, (request, until) in list(self._relays.items()):
             if now > until:
                 del self._relays[number]
--- a/runcourse/core/rental.py
+++ b/runcourse/core/rental.py
@@ -38,7 +38,7 @@
 BALANCE_EVERY_S = 2.0
 UNEVEN = 1.25  # by how much more a share must ask for its CPUs before another yields some
 YIELD_S = 45.0  # within which a machine that another share asked for must fall empty
-REMEMBERED = 3000  # ids of returned machines kept in the store
+REMEMBERED = 4  # ids of returned machines kept in the store, by machine of the largest fleet
 
 Place = tuple[str, str, bool]  # type, zone, spot
 
@@ -121,6 +121,7 @@
         self._balance_at = cx.now
         self._promised: dict[MachineId, tuple[ShareNo, Instant]] = {}  # to be given when empty
         self._summed_at = cx.now
+        self._largest = 0  # machines there were at once
 
     # --- leadership ----------------------------------------------------------------------
 
@@ -297,7 +298,7 @@
         size = max(1, self.cx.platform.settings.state.txn_ops)
         for n in range(0, len(ids), size):
             self._drop_batch(ids[n:n + size])
-        surplus = len(self.fleet.gone) - REMEMBERED
+        surplus = len(self.fleet.gone) - REMEMBERED * max(self._largest, 250)
         if surplus > 0:
             oldest = sorted(self.fleet.gone)[:min(surplus, size)]
             self.store.commit([self._guard()], [(MACHINE + id, None, None) for id in oldest],
@@ -443,6 +444,7 @@
 
     def _plan(self) -> None:
         now = self.cx.now
+        self._largest = max(self._largest, len(self.fleet.records))
         self._cpus, _ = self._counts()
         booting: dict[ShareNo, dict[Place, float]] = {s: {} for s in self.shares.all()}
         idle: dict[ShareNo, list[tuple[float, MachineId, Record]]] = {
@@ -739,6 +741,10 @@
         capacity = sum(self._cpus.values())
         if now >= self._summed_at + 30.0:
             self._summed_at = now
+            # What is in the store as gone, or has no record any more, need not be kept twice.
+            self._released -= self.fleet.gone
+            for id in [id for id in self._recorded_at if id not in self.fleet.records]:
+                del self._recorded_at[id]
             cheap = sum(r.spot for r in self.fleet.records.values())
             self.cx.log("info", f"fleet: {len(self.fleet.records)} machines, {cheap} cheap,"
                                 f" {sum(map(len, idle.values()))} empty; {capacity:.0f} CPUs,"
--- a/runcourse/core/status.py
+++ b/runcourse/core/status.py
@@ -7,8 +7,6 @@
 from .ids import LONG_AGO
 from .node import Node
 
-MAX_LISTED = 200
-
 
 def status_of(node: Node) -> dict[str, Any]:
     now = node.cx.now
@@ -27,13 +25,13 @@
          "spot": m.record.spot, "tasks": sum(1 for p in m.placements.values() if p.active),
          "cpus": m.used.cpus, "usable": node.fleet.usable(m), "leaving": m.record.leaving,
          "heard_s": round(now - m.heard, 1) if m.heard > LONG_AGO else None}
-        for m in list(node.fleet.machines.values())[:MAX_LISTED]
+        for m in node.fleet.machines.values()
     ]
     waiting = [
         {"job": work.job.uid, "team": work.job.spec.team, "tasks": len(work.pending),
          "for_s": round(now - work.job.submitted, 1), "why": work.waits or "its turn"}
         for work in list(node.scheduler.work.values()) if work.pending
-    ][:MAX_LISTED]
+    ]
     return {
         "member": node.cx.me, "entitled": node.authority.entitled(),
         "contact_s": round(now - node.store.last_contact, 2) if node.store.ready else None,
--- a/runcourse/core/store.py
+++ b/runcourse/core/store.py
@@ -9,6 +9,7 @@
 
 import heapq
 import itertools
+from collections import deque
 from collections.abc import Callable
 from typing import Any
 
@@ -70,6 +71,7 @@
         self.last_contact = LONG_AGO
         self.failing = False  # the newest answer was a failure
         self.failed_at = LONG_AGO
+        self._dropped: deque[tuple[Stamp, str]] = deque()
         self._listeners: list[tuple[str, Listener]] = []
         self._reading = False
         self._read_began = LONG_AGO
@@ -106,6 +108,7 @@
             if key not in self.values:
                 return
             del self.values[key]
+            self._dropped.append((stamp, key))
         else:
             self.values[key] = value
         for prefix, listener in self._listeners:
@@ -166,6 +169,11 @@
             for key, value, stamp in changes:
                 self._change(key, value, Stamp(stamp))
             self.applied = Stamp(max(self.applied, epoch))
+            # From here on no read brings back what was dropped before it.
+            while self._dropped and self._dropped[0][0] <= self.applied:
+                key = self._dropped.popleft()[1]
+                if key not in self.values:
+                    self.stamps.pop(key, None)
             self.last_synced = max(self.last_synced, sent)
         elif outcome.status == 410:
             self.ready = False  # too far behind: read everything again
@@ -203,8 +211,9 @@
             if status == 200:
                 stamp = Stamp(int(outcome.body))
                 self.note_contact(True, 200, Instant(outcome.began))
-                for key, value, _ in then:
-                    self._change(key, value, stamp)
+                if stamp > self.applied:  # else a read brought it, and perhaps what came after
+                    for key, value, _ in then:
+                        self._change(key, value, stamp)
                 result("ok", stamp)
             elif status == 409:
                 self.note_contact(True, 409, Instant(outcome.began))
--- a/runcourse/core/users.py
+++ b/runcourse/core/users.py
@@ -20,7 +20,6 @@
 from .store import JOB, LIVE, Store
 from .types import Answer, Poll, Say, Submit, Withdraw
 
-MAX_QUEUED = 400  # questions waiting for one catch-up read
 GIVEN_UP_S = 3.0  # a change not sent by then has been refused to its user
 MAX_BACKLOG_S = 0.7  # changes waiting for the write budget
 
@@ -36,7 +35,9 @@
         self.quota = quota
         self.fleet = fleet
         self.running: dict[JobId, int] = {}  # as owners told it; may lag
-        self._waiting = 0
+        self._waiting = 0  # questions waiting for one catch-up read
+        # A connection asks one thing at a time, so no more can wait than there are.
+        self._most_waiting = cx.platform.settings.quota.sockets(len(cx.members)).served
 
     # --- answers -------------------------------------------------------------------------
 
@@ -56,7 +57,7 @@
 
     def _after_sync(self, request: int, then: Callable[[], None]) -> None:
         """Run `then` once a catch-up read begun from now on has succeeded."""
-        if not self.store.ready or self.store.failing or self._waiting >= MAX_QUEUED:
+        if not self.store.ready or self.store.failing or self._waiting >= self._most_waiting:
             self.refuse(request, 503, 1.0, "no contact with the state service")
             return
         self._waiting += 1
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -113,3 +113,15 @@
         if status in (200, 201):
             world.until(lambda uid=uid: world.poll(uid) == "done", 30)  # type: ignore[misc]
     assert not world.broken
+
+
+def test_a_late_answer_brings_back_nothing_that_was_dropped_since() -> None:
+    """What is dropped is forgotten once no read can bring it back, or it would grow for ever."""
+    store = store_with()
+    store.commit([], [(ROOT + "k", 1, None)], lambda r, s: None)
+    commit = store.cx.out.pop(0)
+    later(store, 1.0)
+    answer(store, 200, ([(ROOT + "k", 1, 10), (ROOT + "k", None, 12)], 12))
+    assert store.get(ROOT + "k") is None and not store.stamps
+    commit.tag(t.Outcome(commit.tag, 200, 10, began=store.cx.now))
+    assert store.get(ROOT + "k") is None
