--- a/runcourse/core/machines.py
+++ b/runcourse/core/machines.py
@@ -757,7 +757,10 @@
             self._looked_at = now
             oldest = now - self.cx.lease_s
             for machine in self.machines.values():
-                if machine.last_answer < oldest and (machine.placements or not machine.settled):
+                # Without authority nothing is sure: another may have answered it meanwhile, as
+                # when this process stood still.
+                if (machine.last_answer < oldest and (machine.placements or not machine.settled)
+                        and self.shares.may_command(machine.share.number)):
                     self._expire(machine)
         for holding in self.shares.mine.values():
             if not holding.settled and all(m.settled for m in self.of_share(holding.number)):
--- a/tests/test_pauses.py
+++ b/tests/test_pauses.py
@@ -53,7 +53,13 @@
     taken = {s for m, n in world.nodes.items() if n is not None and m != owner
              for s in n.shares.mine}
     assert shares <= taken
-    # Before any input tells of it: what its worker reports is not answered, nothing is sent.
+    # Before any input tells of it: it concludes nothing about leases that another renewed.
+    held = list(node.fleet.where)
+    node.fleet._looked_at = Instant(0.0)
+    node.cx.now = Instant(world.now)
+    node.fleet.tick()
+    assert held and list(node.fleet.where) == held
+    # What its worker reports is not answered, nothing is sent.
     node.scheduler._dirty = True
     for machine in list(node.fleet.machines.values()):
         node.fleet._dirty[machine.id] = None
