--- a/runcourse/core/scheduler.py
+++ b/runcourse/core/scheduler.py
@@ -21,7 +21,9 @@
 RETRY_S = 0.25  # between turns while tasks wait for room
 FLUSH_GAP_S = 1.0  # between two stored changes of one job that do not complete it
 RETRY_STORE_S = 0.3  # after a change that was not stored
-AGED_S = 120.0  # a job that has not begun by then goes first, or smaller ones pass it for ever
+AGED_S = 120.0  # a job that waits longer is overdue, or smaller ones would pass it for ever
+AGED_PART = 0.2  # of the array tasks started, those that overdue work may start first
+AGED_CREDIT = 50.0
 PLENTY = 2.0  # an image is held by enough machines: twice its part of what waits
 HELD_EVERY_S = 1.0  # between two counts of what images the machines hold
 AT_RISK = 0.1  # part of a share's replicas, by CPUs, that may gather on one machine
@@ -71,6 +73,11 @@
         self._within = {aim.job_class: aim.within_s for aim in cx.platform.settings.objectives
                         if aim.kind == "wait" and aim.job_class is not None
                         and aim.within_s is not None}
+        self._finished_within: dict[str, list[float]] = {}
+        for aim in cx.platform.settings.objectives:
+            if aim.kind == "finished" and aim.job_class is not None and aim.within_s is not None:
+                self._finished_within.setdefault(aim.job_class, []).append(aim.within_s)
+        self._credit: dict[ShareNo, float] = {}  # tasks that overdue work may start first
         self._draining: list[Machine] = []
         self._dirty = True
         self._next_turn = Instant(0.0)
@@ -130,6 +137,9 @@
 
     def placed(self, placement: Placement) -> None:
         self.quota.add(placement)
+        if placement.job is not None and not placement.job.spec.service:
+            number = placement.machine.share.number
+            self._credit[number] = min(self._credit.get(number, 0.0) + AGED_PART, AGED_CREDIT)
         work = self.work.get(placement.task.job)
         if work is not None:
             zone = placement.machine.record.zone
@@ -287,6 +297,7 @@
         roomy = [m for m in usable if least.fits(m.room)]
         plenty = self._plentiful(holding, waiting, usable, roomy)
         later: list[Work] = []
+        self._serve_aged(holding, waiting, usable, roomy, claimed, unlocated)
         for work in waiting:
             picky = (work.job.spec.image in plenty and not work.job.spec.service
                      and not work.job.spec.gang and now >= work.aged_until)
@@ -300,6 +311,32 @@
             self._serve_last(work, usable, roomy, claimed, unlocated, full, unmet)
         self.unmet[holding.number] = unmet
 
+    def _serve_aged(self, holding: Holding, waiting: list[Work], usable: list[Machine],
+                    roomy: list[Machine], claimed: set[MachineId],
+                    unlocated: dict[Team, Size]) -> None:
+        """Work that is long overdue makes way steadily: its first task goes before all else, and
+        after that a part of what is started is its own. All of it first would make whatever
+        comes meanwhile overdue in its turn."""
+        now = self.cx.now
+        aged = [w for w in waiting if not w.job.spec.service and not w.job.spec.gang
+                and now > w.job.submitted + AGED_S]
+        credit = self._credit.get(holding.number, 0.0) if aged else 0.0
+        for work in sorted(aged, key=lambda w: (w.job.submitted, w.job.uid)):
+            before = len(work.pending)
+            first = 0 if self._begun(work) else 1
+            most = max(first, int(credit))
+            if most and before:
+                fits = [m for m in roomy if work.job.size.fits(m.room)
+                        and m.id not in claimed and self._permits(work.job, m)]
+                self._fill(work, usable, fits, claimed, unlocated, False, most)
+                credit -= max(0, before - len(work.pending) - first)
+                if len(work.pending) == before and not first:
+                    break
+        self._credit[holding.number] = credit
+
+    def _begun(self, work: Work) -> bool:
+        return bool(work.job.done_bits or work.finished or any(work.zones.values()))
+
     def _serve_last(self, work: Work, usable: list[Machine], roomy: list[Machine],
                     claimed: set[MachineId], unlocated: dict[Team, Size],
                     full: dict[tuple[Any, ...], list[Size]],
@@ -377,18 +414,22 @@
         job = work.job
         spec = job.spec
         tier, due = 0, math.inf
-        begun = bool(job.done_bits or work.finished or any(work.zones.values()))
+        begun = self._begun(work)
+        now = self.cx.now
         if spec.deadline_s:
             due = job.submitted + spec.deadline_s
-            left = spec.estimate_s
-            for times in self._lateness.get(spec.lane, (1.0,)):
-                if begun or self.cx.now + left <= job.submitted + times * spec.deadline_s:
+            # Estimates are often wrong by half: what has begun may end sooner.
+            left = spec.estimate_s * (0.5 if begun else 1.0)
+            lasts = [times * spec.deadline_s
+                     for times in self._lateness.get(spec.lane, (1.0,))]
+            lasts += self._finished_within.get(spec.lane, ())
+            for last in sorted(lasts):
+                if now + left <= job.submitted + last:
                     break
                 tier += 1
-        now = self.cx.now
         if not begun and now > job.submitted + AGED_S and now >= work.aged_until:
             work.aged_until = Instant(now + AGED_S)
-        if now < work.aged_until:
+        if (spec.service or spec.gang) and now < work.aged_until:
             return (False, -1, 0, job.submitted, job.uid)
         return (not self.quota.guaranteed(job), spec.rank, tier, due, job.uid)
 
@@ -479,9 +520,10 @@
         return lasting + 0.2 * machine.used.cpus / cpus - dear
 
     def _fill(self, work: Work, usable: list[Machine], fits: list[Machine],
-              claimed: set[MachineId], unlocated: dict[Team, Size], last: bool) -> int:
-        """Start what fits; returns how many tasks found no machine. `fits` are the machines
-        that have room for one task at the least."""
+              claimed: set[MachineId], unlocated: dict[Team, Size], last: bool,
+              most: float = math.inf) -> int:
+        """Start what fits, `most` tasks at the most; returns how many found no machine. `fits`
+        are the machines that have room for one task at the least."""
         job = work.job
         size = job.size
         extra = unlocated.get(Team(job.spec.team), NOTHING)
@@ -503,7 +545,8 @@
                 work.waits = "no room for the whole gang"
                 return len(work.pending)
         heapq.heapify(scored)
-        while len(work.pending) > held:
+        end = len(work.pending) - most
+        while len(work.pending) > max(held, end):
             if not self.quota.allows(job, extra):
                 work.waits = "team limit"
                 return 0
