--- a/runcourse/net/clients.py
+++ b/runcourse/net/clients.py
@@ -106,13 +106,15 @@
         self._client = Client(host, port, limit=4, connect_s=2.0)
         self._gap = 1.0 / (0.8 * rps)
         self._next = 0.0
+        self._pace = asyncio.Lock()
 
     async def _turn(self) -> None:
-        loop = asyncio.get_running_loop()
-        at = max(self._next, loop.time())
-        self._next = at + self._gap
-        if at > loop.time():
-            await asyncio.sleep(at - loop.time())
+        # One waits at a time: those that fell due while the process stood still don't go at once.
+        async with self._pace:
+            loop = asyncio.get_running_loop()
+            if self._next > loop.time():
+                await asyncio.sleep(self._next - loop.time())
+            self._next = loop.time() + self._gap
 
     async def _paced(self, method: str, target: str, body: Any,
                      read: Callable[[bytes], Any]) -> Result:
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -2,7 +2,9 @@
 
 import asyncio
 import contextlib
+import time
 from collections.abc import Awaitable, Callable
+from itertools import pairwise
 
 import pytest
 from test_failures import ready
@@ -12,6 +14,7 @@
 from runcourse.config import Quota
 from runcourse.core import types as t
 from runcourse.core.ids import Instant
+from runcourse.net.clients import Cloud
 from runcourse.net.http import Client, Reply, Server, TooLate
 
 BEAT = "/agent/beat"
@@ -101,6 +104,26 @@
     serve(4, 2, story)
 
 
+def test_calls_to_the_cloud_that_fell_due_in_a_pause_do_not_go_at_once() -> None:
+    async def main() -> list[float]:
+        cloud = Cloud("127.0.0.1", 1, rps=500.0)
+        loop = asyncio.get_running_loop()
+        went: list[float] = []
+
+        async def go() -> None:
+            await cloud._turn()
+            went.append(loop.time())
+
+        tasks = [asyncio.create_task(go()) for _ in range(10)]
+        await asyncio.sleep(0)
+        time.sleep(0.05)  # noqa: ASYNC251 - the process stands still, its clock runs on
+        await asyncio.gather(*tasks)
+        return went
+
+    went = asyncio.run(main())
+    assert all(b - a >= 0.002 for a, b in pairwise(went))
+
+
 def test_commands_open_at_once_are_bounded_and_none_is_lost() -> None:
     """All machines doubted at once, as after a restart of everything: the doubted ones take no
     more than half of the commands there may be, and all are told in the end."""
