Nothing is sent into an outage of the state service, and who waits is told after a second

Now the queue waits for a read that succeeds, and changes that users wait for are refused after 1 s.

--- a/runcourse/core/store.py
+++ b/runcourse/core/store.py
@@ -28,6 +28,7 @@
 CATALOG = ROOT + "catalog"
 
 FRESH_S = 1.5  # how old a read may be that an answer rests on, when the answer leaves
+GIVE_UP_AFTER_S = 1.0  # without contact: who waits for a change is refused
 TRIES = 4  # of a change that the state service has no time for
 
 Listener = Callable[[str, Any, Stamp], None]
@@ -132,8 +133,23 @@
                 self._start_read()
         elif self._waiters or now >= self._read_began + self.cx.operators.sync_every:
             self._start_read()
+        if self.failing and now > self.last_contact + GIVE_UP_AFTER_S:
+            self._give_up()
         self._flush()
 
+    def _give_up(self) -> None:
+        """Without contact for long: whoever waits for a change is told so at once."""
+        waiting = [entry for entry in self._queue if entry[2].until < ALWAYS]
+        if waiting:
+            self._queue = [entry for entry in self._queue if entry[2].until >= ALWAYS]
+            heapq.heapify(self._queue)
+            for _, _, commit in waiting:
+                self._drop(commit)
+
+    def _drop(self, commit: Commit) -> None:
+        self._queued -= len(commit.then)
+        commit.tag(Outcome(commit.tag, 0, LATE, sent=False, began=self.cx.now))
+
     def _start_read(self) -> None:
         now = self.cx.now
         if self._reading or now < self._read_began + self._gap:
@@ -252,11 +268,12 @@
             urgency, _, commit = self._queue[0]
             if now >= commit.until:
                 heapq.heappop(self._queue)
-                self._queued -= len(commit.then)
-                commit.tag(Outcome(commit.tag, 0, LATE, sent=False, began=now))
+                self._drop(commit)
                 continue
             if urgency != self.URGENT:
-                if now < self._paused_until:
+                # Reads find out when the service is back. Tries meanwhile would only raise this
+                # node's pace, and all nodes would come at once with what gathered.
+                if now < self._paused_until or self.failing:
                     return
                 if self._writes.wait(now, len(commit.then)) > 0:
                     # The other nodes seldom use all of their parts: ask for more, until the
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -125,3 +125,26 @@
     assert store.get(ROOT + "k") is None and not store.stamps
     commit.tag(t.Outcome(commit.tag, 200, 10, began=store.cx.now))
     assert store.get(ROOT + "k") is None
+
+
+def test_nothing_is_sent_into_an_outage_and_who_waits_is_told() -> None:
+    """Tries in an outage raised each node's pace: all came at once when it ended."""
+    store = store_with()
+    results: dict[str, str] = {}
+    pace = store._writes.rate
+    store.failing = True
+    store.commit([], [("own", 1, None)], lambda r, s: results.update(own=r))
+    store.commit([], [("user", 1, None)], lambda r, s: results.update(user=r), Store.USER,
+                 Instant(store.cx.now + 60.0))
+    store.last_contact = store.cx.now
+    for _ in range(20):
+        later(store, 0.1)
+        for effect in list(store.cx.out):
+            assert isinstance(effect, t.Follow)
+            answer(store, 503)
+    assert results == {"user": "refused"} and store._writes.rate == pace
+    later(store, 0.3)
+    answer(store, 200, ([], 1))
+    later(store, 0.05)
+    sent = [e for e in store.cx.out if isinstance(e, t.Commit)]
+    assert [e.then[0][0] for e in sent] == ["own"]
