--- a/runcourse/core/rental.py
+++ b/runcourse/core/rental.py
@@ -599,7 +599,7 @@
         if (not self.shares.may_command(share) or to == share
                 or not 0 <= to < len(self.cx.members)):
             return
-        left = float(message["cpus"])
+        half = left = float(message["cpus"])
         for id, (other, _) in self._promised.items():
             machine = self.fleet.machines.get(id)
             if machine is not None and machine.type is not None and other == to:
@@ -608,7 +608,8 @@
                 share, lambda m: self._serves(need, m.record.type, m.record.zone, m.record.spot)
                 and m.type is not None and need.size.fits(m.type.size)):
             assert machine.type is not None
-            if machine.type.cpus <= left:
+            # A machine may be more than half of the difference, if it is no more than all of it.
+            if machine.type.cpus <= left or half == left >= machine.type.cpus / 2:
                 left -= machine.type.cpus
                 machine.draining_until = Instant(self.cx.now + YIELD_S)
                 self._promised[machine.id] = (to, machine.draining_until)
