What was just started is not stopped for an equal; classes of work are served one by one

An array that left machines without its image to others stopped them for its guarantee at once, forty times a second.

--- a/runcourse/core/authority.py
+++ b/runcourse/core/authority.py
@@ -62,8 +62,10 @@
         needed = self.cx.majority - 1
         if not needed:
             return ALWAYS
+        if len(self._votes) < needed:
+            return self.until
         votes = sorted(self._votes.values(), reverse=True)
-        return max(self.until, votes[needed - 1] if len(votes) >= needed else LONG_AGO)
+        return max(self.until, votes[needed - 1])
 
     def entitled(self) -> bool:
         return self.cx.now < self.end()
--- a/runcourse/core/scheduler.py
+++ b/runcourse/core/scheduler.py
@@ -5,6 +5,7 @@
 import heapq
 import math
 from collections.abc import Callable
+from itertools import groupby
 from typing import Any
 
 from .context import DRIFT, Context
@@ -22,6 +23,7 @@
 FLUSH_GAP_S = 1.0  # between two stored changes of one job that do not complete it
 RETRY_STORE_S = 0.3  # after a change that was not stored
 AGED_S = 120.0  # a job that waits longer is overdue, or smaller ones would pass it for ever
+YOUNG_S = 3.0  # what was placed since is not stopped for a guarantee
 AGED_PART = 0.2  # of the array tasks started, those that overdue work may start first
 AGED_CREDIT = 50.0
 PLENTY = 2.0  # an image is held by enough machines: twice its part of what waits
@@ -286,7 +288,8 @@
             self.unmet[holding.number] = []
             return
         unlocated = self._unlocated(holding, hidden)
-        waiting.sort(key=self._urgency)
+        order = {work.job.uid: self._urgency(work) for work in waiting}
+        waiting.sort(key=lambda work: order[work.job.uid])
         usable = [m for m in self.fleet.of_share(holding.number) if self.fleet.usable(m)]
         self._lasting = sum(m.lasting for m in usable)
         claimed: set[MachineId] = set()
@@ -296,19 +299,20 @@
         least = Size(*map(min, zip(*(work.job.size for work in waiting), strict=True)))
         roomy = [m for m in usable if least.fits(m.room)]
         plenty = self._plentiful(holding, waiting, usable, roomy)
-        later: list[Work] = []
         self._serve_aged(holding, waiting, usable, roomy, claimed, unlocated)
-        for work in waiting:
-            picky = (work.job.spec.image in plenty and not work.job.spec.service
-                     and not work.job.spec.gang and now >= work.aged_until)
-            if picky:
-                later.append(work)
-                held = [m for m in roomy if self._fetches_or_holds(work.job.spec.image, m)]
-                self._serve(work, usable, held, claimed, unlocated, {}, False)
-            else:
+        # Class by class: what leaves a machine to others must not stop them for it at once.
+        for _, together in groupby(waiting, key=lambda work: order[work.job.uid][:2]):
+            later: list[Work] = []
+            for work in together:
+                spec = work.job.spec
+                if spec.image in plenty and not spec.service and not spec.gang:
+                    later.append(work)
+                    held = [m for m in roomy if self._fetches_or_holds(spec.image, m)]
+                    self._serve(work, usable, held, claimed, unlocated, {}, False)
+                else:
+                    self._serve_last(work, usable, roomy, claimed, unlocated, full, unmet)
+            for work in later:
                 self._serve_last(work, usable, roomy, claimed, unlocated, full, unmet)
-        for work in later:
-            self._serve_last(work, usable, roomy, claimed, unlocated, full, unmet)
         self.unmet[holding.number] = unmet
 
     def _serve_aged(self, holding: Holding, waiting: list[Work], usable: list[Machine],
@@ -317,9 +321,7 @@
         """Work that is long overdue makes way steadily: its first task goes before all else, and
         after that a part of what is started is its own. All of it first would make whatever
         comes meanwhile overdue in its turn."""
-        now = self.cx.now
-        aged = [w for w in waiting if not w.job.spec.service and not w.job.spec.gang
-                and now > w.job.submitted + AGED_S]
+        aged = [w for w in waiting if self._overdue(w)]
         credit = self._credit.get(holding.number, 0.0) if aged else 0.0
         for work in sorted(aged, key=lambda w: (w.job.submitted, w.job.uid)):
             before = len(work.pending)
@@ -334,6 +336,11 @@
                     break
         self._credit[holding.number] = credit
 
+    def _overdue(self, work: Work) -> bool:
+        spec = work.job.spec
+        return (not spec.service and not spec.gang
+                and self.cx.now > work.job.submitted + AGED_S)
+
     def _begun(self, work: Work) -> bool:
         return bool(work.job.done_bits or work.finished or any(work.zones.values()))
 
@@ -378,16 +385,14 @@
             cpus = len(work.pending) * work.job.size.cpus
             wanted[work.job.spec.image] = wanted.get(work.job.spec.image, 0.0) + cpus
         total = sum(wanted.values())
-        if not usable or not total or total <= sum(m.room.cpus for m in roomy):
+        if not usable or total <= sum(m.room.cpus for m in roomy):
             return frozenset()
         at, held = self._held.get(holding.number, (LONG_AGO, {}))
         if self.cx.now >= at + HELD_EVERY_S:
             held = {}
             for machine in usable:
                 assert machine.type is not None
-                images = {p.job.spec.image for p in machine.placements.values()
-                          if p.job is not None and p.stage in ("sent", "fetching")}
-                for image in images.union(machine.images):
+                for image in (*self._fetching(machine), *machine.images):
                     held[image] = held.get(image, 0.0) + machine.type.cpus
             self._held[holding.number] = (self.cx.now, held)
         cpus = sum(m.type.cpus for m in usable if m.type is not None)
@@ -395,9 +400,7 @@
                          if held.get(image, 0.0) / cpus >= min(PLENTY * part / total, 1.0))
 
     def _fetches_or_holds(self, image: str, machine: Machine) -> bool:
-        return image in machine.images or any(
-            p.stage in ("sent", "fetching") and p.job is not None and p.job.spec.image == image
-            for p in machine.placements.values())
+        return image in machine.images or image in self._fetching(machine)
 
     def _sample(self, machines: list[Machine], least: int = 0) -> list[Machine]:
         """All machines while a turn's budget lasts; then, as more is asked than a turn can
@@ -413,25 +416,23 @@
         that will be late anyway must not make the next one late too."""
         job = work.job
         spec = job.spec
-        tier, due = 0, math.inf
-        begun = self._begun(work)
         now = self.cx.now
-        if spec.deadline_s:
-            due = job.submitted + spec.deadline_s
-            # Estimates are often wrong by half: what has begun may end sooner.
-            left = spec.estimate_s * (0.5 if begun else 1.0)
-            lasts = [times * spec.deadline_s
-                     for times in self._lateness.get(spec.lane, (1.0,))]
-            lasts += self._finished_within.get(spec.lane, ())
-            for last in sorted(lasts):
-                if now + left <= job.submitted + last:
-                    break
-                tier += 1
+        begun = self._begun(work)
+        key = (not self.quota.guaranteed(job), spec.rank)
         if not begun and now > job.submitted + AGED_S and now >= work.aged_until:
             work.aged_until = Instant(now + AGED_S)
-        if (spec.service or spec.gang) and now < work.aged_until:
-            return (False, -1, 0, job.submitted, job.uid)
-        return (not self.quota.guaranteed(job), spec.rank, tier, due, job.uid)
+        if spec.service or spec.gang:
+            if now < work.aged_until:
+                return (False, -1, 0, job.submitted, job.uid)
+            return (*key, 0, job.submitted, job.uid)
+        if not spec.deadline_s:
+            return (*key, 0, math.inf, job.uid)
+        # Estimates are often wrong by half: what has begun may end sooner.
+        left = spec.estimate_s * (0.5 if begun else 1.0)
+        lasts = [times * spec.deadline_s for times in self._lateness.get(spec.lane, (1.0,))]
+        lasts += self._finished_within.get(spec.lane, ())
+        tier = sum(now + left > job.submitted + last for last in lasts)
+        return (*key, tier, job.submitted + spec.deadline_s, job.uid)
 
     def _hidden(self, holding: Holding) -> list[Machine]:
         """One machine of each kind and place among those that may hold unknown tasks."""
@@ -693,10 +694,15 @@
             if placement.job is None:
                 continue
             team = Team(placement.job.spec.team)
-            # Else what began at last, with least to lose, would be stopped at once.
+            # Else what began at last, with least to lose, would be stopped at once, and started
+            # and stopped again many times a second.
             work = self.work.get(placement.task.job)
             if work is not None and self.cx.now < work.aged_until:
                 continue
+            if placement.job.spec.rank <= job.spec.rank and (
+                    self.cx.now < placement.since + YOUNG_S
+                    or (work is not None and self._overdue(work))):
+                continue
             if self.quota.may_stop(job, guaranteed, placement, more.get(team, NOTHING)):
                 more[team] = more.get(team, NOTHING).plus(placement.size)
                 victims.append(placement)
@@ -708,6 +714,14 @@
         image = job.spec.image
         if image in machine.images or machine.type is None:
             return 0.0
+        fetching = self._fetching(machine)
+        gb = sum(fetching.values())
+        if image not in fetching:
+            gb += job.spec.image_gb
+        return gb / (machine.type.fetch_gb_per_s or 1.0)
+
+    def _fetching(self, machine: Machine) -> dict[str, float]:
+        """Images under way to the machine, and their size."""
         fetching = machine.fetches
         if fetching is None:
             fetching = machine.fetches = {}
@@ -716,10 +730,7 @@
                     other = placement.job.spec
                     if other.image not in machine.images:
                         fetching[other.image] = other.image_gb
-        gb = sum(fetching.values())
-        if image not in fetching:
-            gb += job.spec.image_gb
-        return gb / (machine.type.fetch_gb_per_s or 1.0)
+        return fetching
 
     def _loss(self, placement: Placement, now: Instant) -> float:
         if placement.stage != "running" or placement.job is None:
