--- /dev/null
+++ b/tests/test_fleet.py
@@ -0,0 +1,98 @@
+"""Hundreds of machines, and many of them in trouble at once."""
+
+import asyncio
+from typing import Any
+
+from world import FIVE, World, spec
+
+from runcourse.core.types import CloudMachine
+from runcourse.net.clients import Cloud
+from runcourse.wire import messages as wire
+
+
+def records(world: World) -> dict[int, int]:
+    """Machines of each share, as the state service has them."""
+    found: dict[int, int] = {}
+    for key, (value, _, _) in world.state.data.items():
+        if key.startswith("rc/machine/") and not value.get("gone"):
+            found[value["share"]] = found.get(value["share"], 0) + 1
+    return found
+
+
+def test_hundreds_of_machines_are_adopted_and_dealt_though_all_nodes_restart_meanwhile() -> None:
+    world = World(machines=930, members=FIVE)
+    world.run(1.5)
+    for member in FIVE:
+        world.crash(member)
+        world.after(0.1, lambda m=member: world.start(m))  # type: ignore[misc]
+    world.until(lambda: sum(records(world).values()) == 930, 15)
+    dealt = records(world)
+    # By teams: four shares have one, the fifth has none and half as many machines.
+    assert set(dealt) == set(range(5)) and min(dealt.values()) > 930 / 10
+    assert not world.broken
+
+
+def test_many_machines_and_nodes_in_trouble_at_once() -> None:
+    """Dozens dead, hung, cut off and back without memory, two nodes gone and one standing still:
+    nothing runs twice, and all that was lost is up again."""
+    world = World(machines=60, members=FIVE, cpus_max=60.0, lease_s=12.0)
+    world.capacity = 60
+    world.run(5.0)
+    for n in range(4):
+        world.submit(spec(f"j-00070{n}", service=True, tasks=8, team=f"team-{n}", rank=0))
+        world.submit(spec(f"j-00071{n}", tasks=20, team=f"team-{n}", estimate_s=6.0))
+    world.run(6.0)
+    services = [f"j-00070{n}" for n in range(4)]
+
+    def up() -> int:
+        return sum(task.job in services for task, _ in world.on_machines())
+
+    world.until(lambda: up() == 32, 20)
+    workers = list(world.workers.values())
+    world.hold = True
+    for worker in workers[:12]:
+        worker.alive = False
+    for worker in workers[12:24]:
+        worker.hung = True
+        world.after(8.0, lambda w=worker: setattr(w, "hung", False))  # type: ignore[misc]
+    held = {frozenset((w.id, m)) for w in workers[24:36] for m in FIVE}
+    world.cut |= held  # for longer than a lease, then delivered late
+    world.after(16.0, lambda: world.cut.difference_update(held))
+    world.after(16.1, world.deliver_held)
+    for worker in workers[36:48]:
+        worker.blink()
+    for member in FIVE[:2]:
+        world.crash(member)
+        world.after(0.2 if member == "n0" else 7.0, lambda m=member: world.start(m))  # type: ignore[misc]
+    world.freeze(FIVE[2], 6.0)
+    began = world.now
+    world.until(lambda: up() == 32, 60)
+    recovered = world.now - began
+    assert recovered < 3.5 * 12.0, recovered
+    world.until(lambda: all(world.poll(f"j-00071{n}") == "done" for n in range(4)), 120)
+    world.run(5.0)
+    world.deliver_held()
+    world.run(3.0)
+    assert up() == 32 and not world.broken
+
+
+def test_a_list_of_several_pages_counts_only_if_it_is_read_to_its_end() -> None:
+    ids = [f"i-{n:06d}" for n in range(1, 931)]
+
+    class Paged(Cloud):
+        fail_at = ""
+
+        async def _paced(self, method: str, target: str, body: Any, read: Any) -> Any:
+            since = target.partition("since=")[2]
+            if since == self.fail_at and since:
+                return 503, None, True
+            page = [id for id in ids if id > since][:500]
+            hosts = [{"uid": id, "hull": "m4", "yard": "a"} for id in page]
+            return 200, read(wire.encode({"hosts": hosts, "has_next": page[-1] != ids[-1]})), True
+
+    cloud = Paged("127.0.0.1", 1, 10.0)
+    status, machines, _ = asyncio.run(cloud.list_machines())
+    assert status == 200 and [m.id for m in machines] == ids
+    assert all(isinstance(m, CloudMachine) for m in machines)
+    cloud.fail_at = ids[499]
+    assert asyncio.run(cloud.list_machines())[0] == 503
