--- a/runcourse/core/rental.py
+++ b/runcourse/core/rental.py
@@ -36,7 +36,7 @@
 VACATE_AFTER_S = 2.0  # work that cheap machines can't take waits so long for an empty one
 VACATE_S = 15.0  # within which a machine promised to another share must be empty
 BALANCE_EVERY_S = 2.0
-UNEVEN = 1.25  # by how much more a share must ask for its CPUs before another yields some
+UNEVEN = 1.5  # by how much more a share must ask for its CPUs before another yields some
 YIELD_S = 45.0  # within which a machine that another share asked for must fall empty
 REMEMBERED = 4  # ids of returned machines kept in the store, by machine of the largest fleet
 
--- a/runcourse/core/scheduler.py
+++ b/runcourse/core/scheduler.py
@@ -30,6 +30,8 @@
 HELD_EVERY_S = 1.0  # between two counts of what images the machines hold
 AT_RISK = 0.1  # part of a share's replicas, by CPUs, that may gather on one machine
 WEIGHED_PER_S = 50_000.0  # machines weighed in a turn put the next one off by as much
+QUEUED_PER_S = 5_000.0  # and so do jobs gone through
+LONGEST_GAP_S = 0.25
 
 
 class Work:
@@ -86,6 +88,7 @@
         self._ending: dict[JobId, tuple[Job, Instant]] = {}  # cancelled; until when they may run
         self._finished: dict[JobId, Work] = {}  # with finishes that are not stored yet
         self._weighed = 0
+        self._queued = 0  # jobs that waited in the newest turn
         self._held: dict[ShareNo, tuple[Instant, dict[str, float]]] = {}  # CPUs that hold an image
         self._lasting = 0.0  # CPUs of services in the share whose turn it is
         # Sizes for which, in this turn, nothing could be stopped to make room; by who asks.
@@ -261,14 +264,16 @@
         if not due or now < self._next_turn:
             return
         self._dirty = False
-        self._weighed = 0
+        self._weighed = self._queued = 0
         self._hopeless.clear()
         for holding in list(self.shares.mine.values()):
             if self.shares.may_command(holding.number):
                 self._turn(holding)
             else:
                 self._dirty = True
-        self._next_turn = Instant(now + 0.02 + self._weighed / WEIGHED_PER_S)
+        # A long queue is gone through less often: what a turn costs puts the next one off.
+        cost = self._weighed / WEIGHED_PER_S + self._queued / QUEUED_PER_S
+        self._next_turn = Instant(now + min(0.02 + cost, LONGEST_GAP_S))
 
     def _turn(self, holding: Holding) -> None:
         now = self.cx.now
@@ -287,6 +292,7 @@
         if not waiting:
             self.unmet[holding.number] = []
             return
+        self._queued += len(waiting)
         unlocated = self._unlocated(holding, hidden)
         order = {work.job.uid: self._urgency(work) for work in waiting}
         waiting.sort(key=lambda work: order[work.job.uid])
