--- a/runcourse/core/authority.py
+++ b/runcourse/core/authority.py
@@ -12,18 +12,23 @@
 from typing import Any
 
 from .context import DRIFT, Context
-from .ids import ABSENT, ALWAYS, LONG_AGO, Incarnation, Instant, Member, Stamp
+from .ids import ABSENT, ALWAYS, LONG_AGO, Incarnation, Instant, JobId, Member, Stamp
+from .jobs import Jobs
 from .store import LIVE, Store
 from .types import Extend, Grant, Outcome, Say
 
 FAILED_LATELY_S = 2.0  # beyond the longest wait for an answer of the state service
+MOST_NEWS = 200  # cancellations that go with a vouch
 
 
 class Authority:
-    def __init__(self, cx: Context, store: Store, on_live: Callable[[], None],
-                 on_lost: Callable[[str], None]) -> None:
+    def __init__(self, cx: Context, store: Store, jobs: Jobs, on_live: Callable[[], None],
+                 on_lost: Callable[[str], None],
+                 on_cancelled: Callable[[list[JobId]], None]) -> None:
         self.cx = cx
         self.store = store
+        self.jobs = jobs
+        self._on_cancelled = on_cancelled
         self.inc = Incarnation(f"{cx.rng.getrandbits(64):016x}")
         lease = cx.platform.settings.workers.lease_s
         self.ttl = cx.operators.live_ttl or min(max(lease * 0.3, 1.5), 5.0)
@@ -203,7 +208,8 @@
         self._ask += 1
         self._asked_at[self._ask] = now
         self._asked_at.pop(self._ask - 20, None)
-        self.cx.out.append(Say(None, {"t": "vouch?", "inc": self.inc, "n": self._ask}))
+        self.cx.out.append(Say(None, {"t": "vouch?", "inc": self.inc, "n": self._ask,
+                                      "applied": self.store.applied}))
 
     def asked(self, member: Member, message: dict[str, Any]) -> None:
         """A peer without contact asks whether this node has none either."""
@@ -211,9 +217,13 @@
         inc = Incarnation(str(message["inc"]))
         # One failure amid successes is no outage: such a node must not keep another going.
         recently = self.store.last_contact > now - 1.0
+        # The asker may have lost contact earlier than this node: what was cancelled meanwhile
+        # must not run on for as long as it is vouched for.
+        news = self.jobs.cancelled_since(Stamp(int(message["applied"])))
         ok = (
+            len(news) <= MOST_NEWS
             # What failed before this process stood still says nothing of now.
-            self.store.failing
+            and self.store.failing
             and self.store.failed_at > now - FAILED_LATELY_S
             and not recently
             and inc not in self._never_vouch
@@ -223,12 +233,13 @@
         if ok:
             self._vouched[member] = Instant(now + self.vouch_s * (1 + DRIFT))
         self.cx.out.append(Say(member, {"t": "vouch", "inc": inc, "n": message["n"], "ok": ok,
-                                        "contact": recently}))
+                                        "contact": recently, "cancelled": news[:MOST_NEWS]}))
 
     def answered(self, member: Member, message: dict[str, Any]) -> None:
         sent = self._asked_at.get(int(message["n"]))
         if sent is None or message["inc"] != self.inc:
             return
+        self._on_cancelled([JobId(str(uid)) for uid in message["cancelled"]])
         if message["ok"]:
             until = Instant(sent + self.vouch_s * (1 - DRIFT))
             self._votes[member] = max(until, self._votes.get(member, until))
--- a/runcourse/core/jobs.py
+++ b/runcourse/core/jobs.py
@@ -89,6 +89,7 @@
         self._jobs: dict[JobId, Job] = {}
         self._open: dict[JobId, Job] = {}
         self._early_pages: dict[JobId, int] = {}
+        self._cancelled: list[tuple[Stamp, JobId]] = []
 
     def get(self, uid: JobId) -> Job | None:
         return self._jobs.get(uid)
@@ -106,6 +107,8 @@
             job.submitted = now
             job.add_done(self._early_pages.pop(uid, 0))
             self._jobs[uid] = job
+        if value["stage"] == "cancelled":
+            self._cancelled.append((stamp, uid))
         # A job that is done or cancelled stays so, whatever order news arrives in.
         if not job.final:
             job.stage = str(value["stage"])
@@ -117,6 +120,20 @@
         job.stamp = stamp
         return job
 
+    def cancelled_since(self, stamp: Stamp) -> list[JobId]:
+        """Whose cancellation was stored after that revision, as far as is known here."""
+        return [uid for at, uid in self._cancelled if at > stamp]
+
+    def cancel(self, uid: JobId) -> Job | None:
+        """A peer knows of a stored cancellation that no read has brought yet. The job's
+        version stays, so that a change based on it fails. None: nothing new."""
+        job = self._jobs.get(uid)
+        if job is None or job.final:
+            return None
+        job.stage = "cancelled"
+        del self._open[uid]
+        return job
+
     def apply_page(self, uid: JobId, page: int, value: dict[str, Any]) -> None:
         bits = int(str(value["bits"]), 16) << (page * PAGE_BITS)
         job = self._jobs.get(uid)
--- a/runcourse/core/machines.py
+++ b/runcourse/core/machines.py
@@ -96,7 +96,7 @@
 
 
 class Machine:
-    __slots__ = ("added", "addr", "asked_at", "born", "counter", "do_after", "do_open",
+    __slots__ = ("added", "addr", "asked_at", "born", "counter", "did_well", "do_after", "do_open",
                  "doubt", "doubted_at", "draining_until", "empty_since", "errors",
                  "expired_session", "fetches", "full_until", "heard", "id", "images",
                  "last_answer", "lasting", "moving", "notice_until", "placements", "probing",
@@ -140,7 +140,8 @@
         self.doubted_at = now
         self.full_until = now
         self.quarantined_until = now
-        self.errors: dict[JobId, Instant] = {}
+        self.errors: dict[JobId, Instant] = {}  # whose tasks failed here since one did well
+        self.did_well = LONG_AGO  # when a task last completed here
         self.empty_since: Instant | None = now
         self.added = now
         self.draining_until = now  # its replicas move away, nothing new comes
--- a/runcourse/core/node.py
+++ b/runcourse/core/node.py
@@ -50,7 +50,8 @@
         self.cx = cx = Context(platform, operators, rng, now=now, started=now)
         self.store = Store(cx)
         self.jobs = Jobs()
-        self.authority = Authority(cx, self.store, self._on_live, self._on_lost)
+        self.authority = Authority(cx, self.store, self.jobs, self._on_live, self._on_lost,
+                                   self._told_cancelled)
         self.shares = Shares(cx, self.store, self.authority, self._on_gain, self._on_loss)
         self.quota = Quota(cx)
         self.scheduler = Scheduler(cx, self.store, self.shares, self.jobs, self.quota)
@@ -158,6 +159,13 @@
             uid = JobId(key[len(JOB):])
             self.scheduler.job_changed(self.jobs.apply_job(uid, value, stamp, self.cx.now))
 
+    def _told_cancelled(self, uids: list[JobId]) -> None:
+        """A peer saw these cancellations stored; this node may have no contact to read them."""
+        for uid in uids:
+            job = self.jobs.cancel(uid)
+            if job is not None:
+                self.scheduler.job_changed(job)
+
     def _page_changed(self, key: str, value: Any, stamp: Stamp) -> None:
         if value is not None:
             uid, _, page = key[len(DONE):].rpartition("/")
@@ -279,6 +287,9 @@
                     for uid, n in counts.items()}
             case "sync":
                 self.store.sync()
+            case "cancelled":
+                self.store.sync()
+                self._told_cancelled([JobId(str(message["uid"]))])
             case "vouch?":
                 self.authority.asked(member, message)
             case "vouch":
--- a/runcourse/core/scheduler.py
+++ b/runcourse/core/scheduler.py
@@ -9,7 +9,7 @@
 from typing import Any
 
 from .context import DRIFT, Context
-from .ids import LONG_AGO, Instant, JobId, MachineId, ShareNo, Stamp, TaskId, Team, later
+from .ids import ALWAYS, LONG_AGO, Instant, JobId, MachineId, ShareNo, Stamp, TaskId, Team, later
 from .jobs import PAGE_BITS, Job, Jobs, job_value
 from .machines import Fleet, Machine, Placement
 from .placement import NOTHING, Size, fits_times, progress
@@ -28,6 +28,14 @@
 AGED_CREDIT = 50.0
 PLENTY = 2.0  # an image is held by enough machines: twice its part of what waits
 HELD_EVERY_S = 1.0  # between two counts of what images the machines hold
+MISTAKEN_AT = 3  # machines on which a job failed, and nothing of it went well: its own mistake
+MISTAKEN_TRIES = 6  # or failures where there are fewer machines
+PROBE_FIRST_S = 2.0  # until one task of such a job is tried again; twice as long each time
+PROBE_MOST_S = 60.0
+FAULTY_AT = 2  # jobs without a mistake that failed on a machine: its fault
+FAULTY_S = 120.0  # within which, and for which it is set aside
+FAILS = "fails wherever it starts"
+PAUSE_S = 5.0  # a machine's after a first failure
 AT_RISK = 0.1  # part of a share's replicas, by CPUs, that may gather on one machine
 WEIGHED_PER_S = 50_000.0  # machines weighed in a turn put the next one off by as much
 QUEUED_PER_S = 5_000.0  # and so do jobs gone through
@@ -37,8 +45,9 @@
 class Work:
     """What is left to do of one open job of an owned share."""
 
-    __slots__ = ("aged_until", "errors", "finished", "flushed_at", "flushing", "job",
-                 "not_before", "pending", "retry_at", "share", "waits", "zones")
+    __slots__ = ("aged_until", "errors", "fails_after", "finished", "flushed_at", "flushing",
+                 "job", "mistaken", "not_before", "pending", "probes", "retry_at", "share",
+                 "waits", "zones")
 
     def __init__(self, job: Job, share: ShareNo) -> None:
         self.job = job
@@ -51,7 +60,10 @@
         self.retry_at = LONG_AGO
         self.not_before = LONG_AGO
         self.aged_until = LONG_AGO  # goes first and is not stopped for others until then
-        self.errors: dict[MachineId, int] = {}
+        self.errors: dict[MachineId, int] = {}  # where its tasks failed, how often
+        self.fails_after = 0.0  # seconds at the most from the start of a task to its failure
+        self.mistaken = False  # fails wherever it is started, as it seems
+        self.probes = 0  # tries since that was found
         self.waits = ""  # why its next task waits
 
 
@@ -85,6 +97,7 @@
         self._draining: list[Machine] = []
         self._dirty = True
         self._next_turn = Instant(0.0)
+        self._due_at = ALWAYS  # when what backs off is to be looked at again
         self._ending: dict[JobId, tuple[Job, Instant]] = {}  # cancelled; until when they may run
         self._finished: dict[JobId, Work] = {}  # with finishes that are not stored yet
         self._weighed = 0
@@ -176,8 +189,10 @@
             work.finished |= 1 << index
             self._finished[work.job.uid] = work
             machine.errors.clear()
+            machine.did_well = now
+            self._acquit(work)
         elif why == "error":
-            self._failed(work, machine)
+            self._failed(work, placement)
         elif why in ("full", "busy"):
             machine.full_until = Instant(now + 1.0)
         elif why == "unknown":
@@ -190,22 +205,105 @@
                 for mate in self.fleet.of_job(work.job.uid):
                     self.fleet.stop(mate, self._grace(mate))
 
-    def _failed(self, work: Work, machine: Machine) -> None:
+    def _failed(self, work: Work, placement: Placement) -> None:
         """A machine on which tasks of several jobs fail is set aside; a job that fails on
-        several machines backs off alone."""
+        several machines, and does well on none, is mistaken, and no machine's fault."""
         now = self.cx.now
-        machine.errors[work.job.uid] = now
-        recent = [uid for uid, at in machine.errors.items() if now - at < 120]
+        machine, uid = placement.machine, work.job.uid
         work.errors[machine.id] = work.errors.get(machine.id, 0) + 1
-        if len(work.errors) >= 3:
-            tries = sum(work.errors.values())
-            work.not_before = Instant(now + min(60.0, 0.5 * 2 ** min(tries - 2, 8)))
-        elif len(recent) >= 2:
-            machine.quarantined_until = Instant(now + 120.0)
+        work.fails_after = max(work.fails_after, now - (placement.ran_since or placement.since))
+        if work.mistaken:
+            # Tasks that were under way when it was found are no tries of their own.
+            if now >= work.not_before:
+                self._put_off(work)
+            return
+        again = now - machine.errors.get(uid, LONG_AGO) < FAULTY_S and self._does_well(work)
+        machine.errors[uid] = now
+        if self._fails_everywhere(work):
+            self._found_mistaken(work)
+            return
+        recent = [uid for uid, at in machine.errors.items() if now - at < FAULTY_S]
+        if len(recent) >= FAULTY_AT or again:
+            machine.quarantined_until = Instant(now + FAULTY_S)
             self.cx.log("warning", f"machine {machine.id}: tasks of {len(recent)} jobs failed,"
                                    " set aside")
-        else:
-            machine.quarantined_until = max(machine.quarantined_until, Instant(now + 5.0))
+        elif len(work.errors) == 1:  # on a second machine it is rather the job's own mistake
+            machine.quarantined_until = max(machine.quarantined_until, Instant(now + PAUSE_S))
+
+    def _fails_everywhere(self, work: Work) -> bool:
+        """One task that fails by chance, or on one faulty machine, is no mistake of its job: it
+        fails on several, or also where others do well, and nothing of it goes well anywhere."""
+        if self._does_well(work):
+            return False
+        if len(work.errors) >= MISTAKEN_AT:
+            return True
+        machines = self.fleet.machines
+        well = sum(id in machines and self.cx.now - machines[id].did_well < FAULTY_S
+                   for id in work.errors)
+        return well >= 2 or (sum(work.errors.values()) >= MISTAKEN_TRIES
+                             and (len(work.errors) >= 2 or well >= 1))
+
+    def _does_well(self, work: Work) -> bool:
+        return bool(work.job.done_count or work.finished) or self._goes_well(work)
+
+    def _goes_well(self, work: Work) -> bool:
+        """Has a task of the job run for longer than those that failed?"""
+        enough = 1.5 * work.fails_after + 1.0
+        return any(p.stage == "running" and self.cx.now - p.ran_since > enough
+                   for p in self.fleet.of_job(work.job.uid))
+
+    def _found_mistaken(self, work: Work) -> None:
+        """With many such jobs about, each machine has run some: none is set aside for them."""
+        now = self.cx.now
+        uid = work.job.uid
+        work.mistaken = True
+        self.cx.log("warning", f"job {uid}: failed on {len(work.errors)} machines, tried again"
+                               " one task at a time")
+        self._put_off(work)
+        for id in work.errors:
+            machine = self.fleet.machines.get(id)
+            if machine is not None and machine.errors.pop(uid, None) is not None:
+                recent = [at for at in machine.errors.values() if now - at < FAULTY_S]
+                if len(recent) < FAULTY_AT:
+                    machine.quarantined_until = now
+        # What has not begun yet would fetch its image for nothing.
+        for placement in self.fleet.of_job(uid):
+            if placement.stage in ("sent", "fetching"):
+                self.fleet.stop(placement)
+
+    def _put_off(self, work: Work) -> None:
+        pause = min(PROBE_MOST_S, PROBE_FIRST_S * 2 ** min(work.probes, 8))
+        work.not_before = Instant(self.cx.now + pause)
+        work.probes += 1
+
+    def _acquit(self, work: Work) -> None:
+        """Something of it goes well, so what failed was chance, or the machines' fault."""
+        if work.mistaken:
+            self.cx.log("info", f"job {work.job.uid}: goes well after all")
+            work.mistaken = False
+            work.not_before = LONG_AGO
+            self._dirty = True
+        work.errors.clear()
+        work.fails_after = 0.0
+
+    def _probe(self, work: Work, usable: list[Machine], claimed: set[MachineId],
+               unlocated: dict[Team, Size]) -> None:
+        """One task of a job that fails wherever it starts, in room that nobody else took, on a
+        machine where it has not failed yet and, if there is one, that holds its image."""
+        if self._goes_well(work):
+            self._acquit(work)
+            return
+        work.waits = FAILS
+        if self.cx.now < work.not_before or any(work.zones.values()):
+            return
+        size = work.job.size
+        fits = [m for m in usable if m.id not in claimed and size.fits(m.room)
+                and self._permits(work.job, m)]
+        fits = [m for m in fits if m.id not in work.errors] or fits
+        fits = [m for m in fits if work.job.spec.image in m.images] or fits
+        if fits:
+            self._fill(work, usable, fits, claimed, unlocated, False, 1)
+            work.waits = FAILS
 
     def running(self, placement: Placement) -> None:
         pass
@@ -234,15 +332,19 @@
         work.flushing = True
         work.flushed_at = self.cx.now
         first = (bits & -bits).bit_length() - 1
-        pages = [n for n in range(first // PAGE_BITS, (bits.bit_length() - 1) // PAGE_BITS + 1)
-                 if bits >> (n * PAGE_BITS) & ((1 << PAGE_BITS) - 1)]
         key = JOB + job.uid
         when = [self.shares.guard(work.share), (key, int(job.stamp))]
-        then: list[tuple[str, Any, int | None]] = [
-            (f"{DONE}{job.uid}/{n}", job.page(n, bits), None) for n in pages
-        ]
-        if complete:
+        then: list[tuple[str, Any, int | None]] = []
+        if complete:  # says of every task that it is done: no page need say it too
             then.append((key, job_value(job.spec, "done"), None))
+        else:
+            for n in range(first // PAGE_BITS, (bits.bit_length() - 1) // PAGE_BITS + 1):
+                if bits >> (n * PAGE_BITS) & ((1 << PAGE_BITS) - 1):
+                    page = f"{DONE}{job.uid}/{n}"
+                    # A change without an answer may be carried out after newer ones, and would
+                    # take back what they stored: the page's version makes it fail.
+                    when.append((page, int(self.store.stamp(page))))
+                    then.append((page, job.page(n, bits), None))
 
         def done(result: str, stamp: Stamp) -> None:
             work.flushing = False
@@ -261,9 +363,10 @@
         now = self.cx.now
         # Room may open by time alone, as pauses and backoffs end.
         due = self._dirty or (any(self.unmet.values()) and now >= self._next_turn + RETRY_S)
-        if not due or now < self._next_turn:
+        if not (due or now >= self._due_at) or now < self._next_turn:
             return
         self._dirty = False
+        self._due_at = ALWAYS
         self._weighed = self._queued = 0
         self._hopeless.clear()
         for holding in list(self.shares.mine.values()):
@@ -278,18 +381,21 @@
     def _turn(self, holding: Holding) -> None:
         now = self.cx.now
         waiting = []
+        mistaken = []
         hidden = self._hidden(holding)
         for work in self.work.values():
             if not work.pending or work.share != holding.number:
                 continue
-            if now < work.not_before:
-                work.waits = "backs off after failures"
-                self._dirty = True
-            elif self._may_hide(work.job, holding, hidden):
+            if self._may_hide(work.job, holding, hidden):
                 work.waits = "share not settled"
+            elif work.mistaken:
+                mistaken.append(work)
+            elif now < work.not_before:
+                work.waits = "its start was refused"
+                self._due_at = min(self._due_at, work.not_before)
             else:
                 waiting.append(work)
-        if not waiting:
+        if not waiting and not mistaken:
             self.unmet[holding.number] = []
             return
         self._queued += len(waiting)
@@ -302,7 +408,8 @@
         unmet: list[tuple[Job, int, tuple[str, ...]]] = []
         # Sizes that found no room in this turn: what is no smaller won't find any either.
         full: dict[tuple[Any, ...], list[Size]] = {}
-        least = Size(*map(min, zip(*(work.job.size for work in waiting), strict=True)))
+        least = Size(*map(min, zip(*(work.job.size for work in (*waiting, *mistaken)),
+                                   strict=True)))
         roomy = [m for m in usable if least.fits(m.room)]
         plenty = self._plentiful(holding, waiting, usable, roomy)
         self._serve_aged(holding, waiting, usable, roomy, claimed, unlocated)
@@ -320,6 +427,12 @@
             for work in later:
                 self._serve_last(work, usable, roomy, claimed, unlocated, full, unmet)
         self.unmet[holding.number] = unmet
+        # Last, never hired for, and nothing stops for them.
+        for work in mistaken:
+            self._probe(work, roomy, claimed, unlocated)
+            # Looked at again when the next try is due, or soon while one goes on or found no room.
+            again = now + 1.0 if now >= work.not_before or work.zones else work.not_before
+            self._due_at = min(self._due_at, Instant(again))
 
     def _serve_aged(self, holding: Holding, waiting: list[Work], usable: list[Machine],
                     roomy: list[Machine], claimed: set[MachineId],
@@ -344,7 +457,7 @@
 
     def _overdue(self, work: Work) -> bool:
         spec = work.job.spec
-        return (not spec.service and not spec.gang
+        return (not spec.service and not spec.gang and not work.mistaken
                 and self.cx.now > work.job.submitted + AGED_S)
 
     def _begun(self, work: Work) -> bool:
@@ -593,7 +706,7 @@
         made: they wait the moment until it is there."""
         job = work.job
         within = self._within.get(job.spec.lane)
-        if within is None or not job.spec.service:
+        if within is None or not job.spec.service or work.mistaken:
             return 0
         lacking = len(work.pending) - sum(fits_times(job.size, m.room) for m in fits
                                           if self._fetch_s(job, m) <= within)
--- a/runcourse/core/users.py
+++ b/runcourse/core/users.py
@@ -207,7 +207,9 @@
 
         def result(outcome: str, stamp: Stamp) -> None:
             if outcome == "ok":
-                self.tell_owner(share, {"t": "sync"})
+                # Everybody, as the owner may have lost contact, and be vouched for by any of
+                # them: they pass it on with their vouch.
+                self.cx.out.append(Say(None, {"t": "cancelled", "uid": uid}))
                 self._answer_final(request, uid)
             elif outcome == "conflict" and tries > 1:
                 self._after_sync(request, lambda: self._cancel(request, uid, tries - 1))
