--- a/runcourse/core/machines.py
+++ b/runcourse/core/machines.py
@@ -27,6 +27,7 @@
     Stamp,
     TaskId,
     Token,
+    later,
     make_token,
 )
 from .jobs import Job, Jobs
@@ -39,6 +40,8 @@
 RUNNING = ("running", "saving")
 REPORT_PATIENCE_S = 4.0  # how long a worker waits for the answer to a report
 LOOK_EVERY_S = 0.2
+MOST_LISTED = 400  # tasks, ended ones too: a report must stay far below the protocol's 64 KiB
+GAP_PER_TASK_S = 0.004  # between two commands to a machine, for each task that it lists
 RETRY_AFTER_S = 1.0  # and then until it tries the next node
 
 
@@ -667,6 +670,13 @@
     def answered(self, machine: Machine) -> None:
         machine.last_answer = max(machine.last_answer, self.cx.now)
 
+    def pace(self, machine: Machine) -> None:
+        """Whether it was told by an answer or a command, the next command waits a moment: each
+        is answered with a list of all tasks there, and a machine of a hundred short ones would
+        ask for one many times a second. Its next report tells as much."""
+        gap = GAP_PER_TASK_S * len(machine.placements)
+        machine.do_after = max(machine.do_after, later(self.cx.now, gap))
+
     def push(self) -> None:
         """Send what is new straight to the workers; the next report's answer repeats it."""
         if not self._dirty or self._open >= self._most_open:
@@ -731,6 +741,7 @@
                 return
             if isinstance(outcome.body, Report):
                 self.hear(outcome.body, since)
+                self.pace(machine)
                 if outcome.status == 409 and machine.session == session:
                     self.cx.log("info", f"machine {machine.id} refused token {token}")
                 return
@@ -806,6 +817,8 @@
             and not machine.record.leaving
             and not machine.moving
             and machine.notice_until is None
+            # Where finishes can't be stored for long, what ended gathers in the reports.
+            and len(machine.placements) < MOST_LISTED
             and self.silent_s(machine) < 1.25 * report_s + 1.0
             and self.cx.now >= machine.quarantined_until
             and self.cx.now >= machine.draining_until
--- a/runcourse/core/node.py
+++ b/runcourse/core/node.py
@@ -231,6 +231,7 @@
         self.scheduler.turn()
         self.fleet.answered(machine)
         orders = self.fleet.orders(machine, answering=True)  # may raise the token
+        self.fleet.pace(machine)
         self._answer(beat, AnswerBeat(beat.request, 200, machine.token, orders,
                                       until=self.authority.end()))
 
--- a/runcourse/core/rental.py
+++ b/runcourse/core/rental.py
@@ -198,7 +198,7 @@
             for job, count, shut in self.scheduler.unmet.get(holding.number, ()):
                 spec = job.spec
                 key = (tuple(job.size), spec.rank, spec.spot, spec.types, spec.zone, shut)
-                needs[key] = needs.get(key, 0) + count
+                needs[key] = needs.get(key, 0) + self.scheduler.needed(job, count)
                 ages[key] = max(ages.get(key, 0.0), now - job.submitted)
             machines = {}
             used = 0.0
--- a/runcourse/core/scheduler.py
+++ b/runcourse/core/scheduler.py
@@ -11,7 +11,7 @@
 from .context import DRIFT, Context
 from .ids import ALWAYS, LONG_AGO, Instant, JobId, MachineId, ShareNo, Stamp, TaskId, Team, later
 from .jobs import PAGE_BITS, Job, Jobs, job_value
-from .machines import Fleet, Machine, Placement
+from .machines import MOST_LISTED, Fleet, Machine, Placement
 from .placement import NOTHING, Size, fits_times, progress
 from .quota import Quota
 from .shares import Holding, Shares
@@ -38,6 +38,8 @@
 PAUSE_S = 5.0  # a machine's after a first failure
 AT_RISK = 0.1  # part of a share's replicas, by CPUs, that may gather on one machine
 WEIGHED_PER_S = 50_000.0  # machines weighed in a turn put the next one off by as much
+PLACEMENTS_WEIGH = 4  # tasks that might be stopped, weighed in the time of a machine
+MACHINE_S = 60.0  # a machine is paid for so long at the least
 QUEUED_PER_S = 5_000.0  # and so do jobs gone through
 LONGEST_GAP_S = 0.25
 
@@ -463,6 +465,14 @@
     def _begun(self, work: Work) -> bool:
         return bool(work.job.done_bits or work.finished or any(work.zones.values()))
 
+    def needed(self, job: Job, count: int) -> int:
+        """For how many of the waiting tasks to have machines: those without a deadline that end
+        long before a machine has paid for itself follow each other on the same ones."""
+        spec = job.spec
+        if spec.service or spec.gang or spec.deadline_s or not spec.estimate_s:
+            return count
+        return min(count, math.ceil(count * spec.estimate_s / MACHINE_S))
+
     def _serve_last(self, work: Work, usable: list[Machine], roomy: list[Machine],
                     claimed: set[MachineId], unlocated: dict[Team, Size],
                     full: dict[tuple[Any, ...], list[Size]],
@@ -686,7 +696,7 @@
             self.fleet.place(job, task.number, machine, attempt)
             self.cx.log("debug", f"{task} placed on {machine.id}, {now - job.submitted:.2f} s"
                                  " after its job")
-            if size.fits(machine.room):
+            if size.fits(machine.room) and len(machine.placements) < MOST_LISTED:
                 heapq.heapreplace(scored, (-self._score(job, machine), n, machine))
             else:
                 heapq.heappop(scored)
@@ -770,8 +780,11 @@
             return lost + (self._fetch_s(job, machine) if job.spec.service else 0.0), victims
 
         candidates: list[tuple[float, str, Machine]] = []
-        for machine in self._sample([m for m in machines if m.id not in claimed
-                                     and self._permits(job, m)], 4 * missing):
+        pool = self._sample([m for m in machines if m.id not in claimed
+                             and self._permits(job, m)], 4 * missing)
+        # What there is to stop is weighed task by task, and a machine may hold a hundred.
+        self._weighed += sum(len(m.placements) for m in pool) // PLACEMENTS_WEIGH
+        for machine in pool:
             found = cost(machine)
             if found is not None:
                 candidates.append((found[0], machine.id, machine))
--- a/runcourse/core/users.py
+++ b/runcourse/core/users.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import math
+from collections import Counter
 from collections.abc import Callable
 from typing import Any
 
@@ -22,6 +23,7 @@
 
 GIVEN_UP_S = 3.0  # a change not sent by then has been refused to its user
 MAX_BACKLOG_S = 0.7  # changes waiting for the write budget
+FAIR_BACKLOG_S = 0.35  # beyond this, those of the team that has most of what waits
 
 
 class Users:
@@ -35,6 +37,7 @@
         self.quota = quota
         self.fleet = fleet
         self.running: dict[JobId, int] = {}  # as owners told it; may lag
+        self._creating: Counter[str] = Counter()  # submissions being stored, by team
         self._waiting = 0  # questions waiting for one catch-up read
         # A connection asks one thing at a time, so no more can wait than there are.
         self._most_waiting = cx.platform.settings.quota.sockets(len(cx.members)).served
@@ -160,11 +163,15 @@
             self.refuse(request, 503, 1.0, "no contact with the state service")
             return
         backlog = self.store.backlog
-        if backlog > MAX_BACKLOG_S:
+        # One team's flood must not take all the room there is from the others.
+        floods = self._creating[spec.team] > max(1, self._creating.total() // 2)
+        if backlog > (FAIR_BACKLOG_S if floods else MAX_BACKLOG_S):
             self.refuse(request, 429, math.ceil(backlog), "too many submissions at once")
             return
+        self._creating[spec.team] += 1
 
         def result(outcome: str, stamp: Stamp) -> None:
+            self._creating[spec.team] -= 1
             if outcome == "ok":
                 self.cx.out.append(Answer(request, 201, job_state(uid, "queued")))
                 self.tell_owner(self.shares.of_team(Team(spec.team)), {"t": "sync"})
--- a/tests/test_meetings.py
+++ b/tests/test_meetings.py
@@ -4,11 +4,15 @@
 from typing import Any
 
 import pytest
+from test_failures import ready
+from test_guards import owner_of_some
 from world import CANCEL_S, FIVE, MEMBERS, World, spec
 
 from runcourse.core import types as t
-from runcourse.core.ids import Instant, JobId
-from runcourse.core.jobs import PAGE_BITS
+from runcourse.core.ids import Instant, JobId, Stamp
+from runcourse.core.jobs import PAGE_BITS, Job
+from runcourse.core.machines import MOST_LISTED
+from runcourse.wire.messages import commands, encode
 
 
 def test_a_late_page_takes_back_nothing_that_was_stored_since() -> None:
@@ -163,3 +167,46 @@
     world.mistaken.clear()
     world.until(lambda: world.poll("j-000400") == "done", 40)
     assert not world.broken
+
+
+def test_a_flood_of_short_tasks_is_not_hired_for_one_machine_each() -> None:
+    node = owner_of_some(ready(machines=6))[0]
+    needed = node.scheduler.needed
+    short = Job(spec("j-000500", tasks=25_000, estimate_s=4.0), Stamp(1))
+    assert needed(short, 25_000) == 1667 and needed(short, 1) == 1
+    assert needed(Job(spec("j-000501", estimate_s=200.0), Stamp(1)), 70) == 70
+    assert needed(Job(spec("j-000502", estimate_s=4.0, deadline_s=30.0), Stamp(1)), 70) == 70
+    assert needed(Job(spec("j-000503", service=True), Stamp(1)), 7) == 7
+
+
+def test_a_crowded_machine_gets_no_more_and_is_commanded_less_often() -> None:
+    world = World(machines=6, cpus_max=1000.0)
+    world.run(4.0)
+    node, machine = owner_of_some(world)
+    job = Job(spec("j-000510", tasks=2000, cpus=0.01, memory=0.01), Stamp(1))
+    for n in range(MOST_LISTED):
+        node.fleet.place(job, n, machine, machine.share.next_attempt())
+    assert not node.fleet.usable(machine)
+    assert len(encode(commands(machine.token, machine.session,
+                               node.fleet.orders(machine, answering=False)))) < 48 * 1024
+    node.fleet.pace(machine)
+    assert machine.do_after >= node.cx.now + 1.0
+    quick = next(m for m in node.fleet.machines.values() if m is not machine)
+    node.fleet.pace(quick)
+    assert quick.do_after <= node.cx.now
+
+
+def test_one_team_s_flood_leaves_room_for_the_submissions_of_others() -> None:
+    node = owner_of_some(ready())[0]
+    flooded = answered = 0
+    for n in range(400):
+        team, request = ("team-1", 10_000) if n % 20 == 19 else ("team-0", 0)
+        job = spec(f"j-{n + 600:06d}", team=team)
+        for effect in node.handle(node.cx.now, t.Submit(request + n, job.uid, job)):
+            if isinstance(effect, t.Answer):
+                assert effect.status == 429 and effect.retry_after
+                if effect.request < 10_000:
+                    flooded += 1
+                else:
+                    answered += 1
+    assert flooded > 200 and answered == 0
