--- a/runcourse/core/authority.py
+++ b/runcourse/core/authority.py
@@ -12,7 +12,7 @@
 from typing import Any
 
 from .context import DRIFT, Context
-from .ids import ABSENT, ALWAYS, LONG_AGO, Incarnation, Instant, JobId, Member, Stamp
+from .ids import ABSENT, ALWAYS, LONG_AGO, Incarnation, Instant, JobId, Member, Stamp, later
 from .jobs import Jobs
 from .store import LIVE, Store
 from .types import Extend, Grant, Outcome, Say
@@ -145,7 +145,9 @@
 
         def done(outcome: Outcome) -> None:
             self._busy = False
-            self._next = Instant(self.cx.now + (self.ttl / 4 if outcome.status == 200 else 0.2))
+            # Counted from the sending: where answers are slow, the next one must not wait too.
+            self._next = (Instant(outcome.began + self.ttl / 4) if outcome.status == 200
+                          else later(self.cx.now, 0.2))
             self.store.note_contact(outcome.status == 200, outcome.status,
                                     Instant(outcome.began))
             if outcome.status == 200:
--- a/runcourse/core/rental.py
+++ b/runcourse/core/rental.py
@@ -38,6 +38,9 @@
 BALANCE_EVERY_S = 2.0
 UNEVEN = 1.5  # by how much more a share must ask for its CPUs before another yields some
 YIELD_S = 45.0  # within which a machine that another share asked for must fall empty
+LATE_LEAST = 1.5  # times a type's boot time that a boot usually takes at the most
+LATE_MOST = 4.0  # and when boots lately took longer, the longest that is waited for one
+BOOTS_SEEN = 12  # of each type, the newest
 REMEMBERED = 4  # ids of returned machines kept in the store, by machine of the largest fleet
 
 Place = tuple[str, str, bool]  # type, zone, spot
@@ -46,13 +49,15 @@
 class Need:
     """Waiting tasks of one shape in one share."""
 
-    __slots__ = ("age", "asked", "count", "rank", "raw", "shut", "size", "spot", "types", "zone")
+    __slots__ = ("age", "asked", "count", "hire", "rank", "raw", "shut", "size", "spot", "types",
+                 "zone")
 
     def __init__(self, raw: dict[str, Any]) -> None:
         self.raw = raw
         self.size = Size(*raw["size"])
         self.asked = int(raw["n"])
-        self.count = self.asked  # what is left of it while a plan is made
+        self.hire = int(raw["hire"])  # for how many of them to have machines
+        self.count = self.hire  # what is left of that while a plan is made
         self.age = float(raw["age"])  # how long the oldest has waited
         self.rank = int(raw["rank"])
         self.spot = bool(raw["spot"])
@@ -119,6 +124,9 @@
         self._drain_at = cx.now
         self._vacate_at = cx.now
         self._balance_at = cx.now
+        self._boots: dict[str, deque[float]] = {}  # boots lately, in times of their type's
+        self._booting: dict[MachineId, Instant] = {}  # hired by this leader and not heard yet
+        self._missing: dict[MachineId, Instant] = {}  # listed once and not any more, since when
         self._promised: dict[MachineId, tuple[ShareNo, Instant]] = {}  # to be given when empty
         self._summed_at = cx.now
         self._largest = 0  # machines there were at once
@@ -176,6 +184,8 @@
             self._peaks.clear()
             self._first_listed.clear()
             self._recorded_at.clear()
+            self._booting.clear()
+            self._missing.clear()
             self.cx.log("info", "leading")
         if now >= self._catalog_at + (CATALOG_EVERY_S if self.fleet.types else 1.0):
             self._catalog_at = now
@@ -194,11 +204,13 @@
         now = self.cx.now
         for holding in self.shares.mine.values():
             needs: dict[tuple[Any, ...], int] = {}
+            hires: dict[tuple[Any, ...], int] = {}
             ages: dict[tuple[Any, ...], float] = {}
             for job, count, shut in self.scheduler.unmet.get(holding.number, ()):
                 spec = job.spec
                 key = (tuple(job.size), spec.rank, spec.spot, spec.types, spec.zone, shut)
-                needs[key] = needs.get(key, 0) + self.scheduler.needed(job, count)
+                needs[key] = needs.get(key, 0) + count
+                hires[key] = hires.get(key, 0) + self.scheduler.needed(job, count)
                 ages[key] = max(ages.get(key, 0.0), now - job.submitted)
             machines = {}
             used = 0.0
@@ -212,7 +224,7 @@
                 "needs": [{"size": list(k[0]), "rank": k[1], "spot": k[2],
                            "types": list(k[3]) if k[3] is not None else None, "zone": k[4],
                            "shut": list(k[5]),
-                           "n": n, "age": ages[k]} for k, n in needs.items()],
+                           "n": n, "hire": hires[k], "age": ages[k]} for k, n in needs.items()],
             }
             if self.leading:
                 self.told_load(message)
@@ -281,13 +293,27 @@
         # the one before it, by no more than twice the lag.
         gone = []
         for id, first in list(self._first_listed.items()):
-            if id not in present and began > first + 2 * lag + 1.0:
+            if id in present:
+                self._missing.pop(id, None)
+            elif began > first + 2 * lag + 1.0:
+                # Should lists be older still than they may be: one alone proves nothing, and
+                # no list makes a machine gone that was heard since it may have been made.
+                missing = self._missing.setdefault(id, began)
+                if began < missing + lag or self._heard_since(id, missing):
+                    continue
                 del self._first_listed[id]
+                del self._missing[id]
                 if id in self.fleet.records:
                     self.cx.log("info", f"machine {id} is gone from the cloud")
                     gone.append(id)
         self._drop_records(gone)
 
+    def _heard_since(self, id: MachineId, at: Instant) -> bool:
+        record = self.fleet.records.get(id)
+        load = self.loads.get(record.share) if record else None
+        info = load.machines.get(str(id)) if load else None
+        return load is not None and info is not None and info[0] >= 0 and load.at - info[0] > at
+
     def _drop_records(self, ids: list[MachineId]) -> None:
         """Machines that are surely gone. Their ids stay in the store: late copies of their
         reports must not bring them back, whoever leads by then."""
@@ -439,8 +465,23 @@
 
     # --- planning ------------------------------------------------------------------------
 
+    def _late_after(self, type_: MachineType) -> float:
+        """When a boot is overdue: work then waits for another machine instead. If machines that
+        did come up lately took long as well, the next one would take no less."""
+        seen = self._boots.get(type_.name)
+        usual = 1.15 * max(seen) if seen else 0.0
+        return min(max(LATE_LEAST, usual), LATE_MOST) * type_.boot_s + 2.0
+
     def _boot_limit(self, type_: MachineType) -> float:
-        return 2.0 * type_.boot_s + 5.0
+        """When a machine that did not come up is returned: it is paid for."""
+        return self._late_after(type_) + 0.5 * type_.boot_s + 3.0
+
+    def _note_boots(self, id: MachineId, type_: MachineType, heard: bool) -> None:
+        since = self._booting.get(id)
+        if since is not None and heard:
+            del self._booting[id]
+            took = (self.cx.now - since) / max(type_.boot_s, 1.0)
+            self._boots.setdefault(type_.name, deque(maxlen=BOOTS_SEEN)).append(took)
 
     def _plan(self) -> None:
         now = self.cx.now
@@ -460,18 +501,20 @@
                 since = now
             self._recorded_at[id] = (record.stamp, since)
             info = load.machines.get(str(id)) if load else None
+            self._note_boots(id, type_, info is not None and info[0] >= 0)
             if info is None or info[0] < 0:
-                if now - since < self._boot_limit(type_):
+                if now - since < self._late_after(type_):
                     place = (record.type, record.zone, record.spot)
                     there = booting[record.share]
                     there[place] = there.get(place, 0.0) + 1.0
-                elif info is not None:
+                elif info is not None and now - since >= self._boot_limit(type_):
                     # Never came up, or much too late: returned and replaced elsewhere.
                     self.cx.log("info", f"machine {id} did not come up, returned")
                     self._note_refusal(record.type, record.zone, record.spot, 10.0)
                     self._ask_owner(record.share, {"t": "retire", "machine": id})
                     again = Instant(now - self._boot_limit(type_) + 3.0)
                     self._recorded_at[id] = (record.stamp, again)
+                    self._booting.pop(id, None)
             elif info[1] >= 0:
                 idle[record.share].append((info[1], id, record))
         # What is being hired or recorded counts as on its way, or it would be hired again.
@@ -500,7 +543,7 @@
         task will go to which of them is not decided here."""
         left = dict(booting)
         for need in needs:
-            need.count = need.asked
+            need.count = need.hire
             for place, machines in left.items():
                 if machines <= 0 or not self._serves(need, *place):
                     continue
@@ -719,6 +762,7 @@
             else:
                 self._refused.pop((rent.type, rent.zone, rent.spot), None)
             if self.leading:
+                self._booting.update((id, Instant(outcome.began)) for id in ids)
                 self._adopt([(id, rent.type, rent.zone, rent.spot, share)
                              for id, share in zip(ids, shares, strict=False)])
         elif outcome.status == 503:
@@ -744,8 +788,9 @@
             self._summed_at = now
             # What is in the store as gone, or has no record any more, need not be kept twice.
             self._released -= self.fleet.gone
-            for id in [id for id in self._recorded_at if id not in self.fleet.records]:
-                del self._recorded_at[id]
+            for known in (self._recorded_at, self._booting):
+                for id in [id for id in known if id not in self.fleet.records]:
+                    del known[id]
             cheap = sum(r.spot for r in self.fleet.records.values())
             self.cx.log("info", f"fleet: {len(self.fleet.records)} machines, {cheap} cheap,"
                                 f" {sum(map(len, idle.values()))} empty; {capacity:.0f} CPUs,"
--- a/runcourse/core/shares.py
+++ b/runcourse/core/shares.py
@@ -58,6 +58,7 @@
         self._on_gain = on_gain
         self._on_loss = on_loss
         self._taking: set[ShareNo] = set()
+        self._former: dict[ShareNo, Member] = {}  # whose shares are being taken over
         self._dealt: dict[Team, ShareNo] = {}
         self._gone_since: dict[ShareNo, Instant] = {}
         self._home_since: dict[Member, tuple[Incarnation, Instant]] = {}
@@ -141,7 +142,9 @@
         if ours and holding is None:
             holding = Holding(share, stamp, self.cx.now)
             self.mine[share] = holding
-            self.cx.log("info", f"share {share} owned, epoch {stamp}")
+            former = self._former.pop(share, None)
+            taken = f", taken over from {former}, whose lease ended" if former else ""
+            self.cx.log("info", f"share {share} owned, epoch {stamp}{taken}")
             self._on_gain(holding)
 
     def drop_all(self) -> None:
@@ -212,6 +215,7 @@
             return
         if now - since < 0.3 * self._turn(share, member):
             return
+        self._former[share] = member
         conditions: list[tuple[str, int]] = [(LIVE + member, ABSENT)]
         conditions += [(LIVE + m, self.store.stamp(LIVE + m)) for m in others]
         self._take(share, conditions)
--- a/runcourse/net/clients.py
+++ b/runcourse/net/clients.py
@@ -17,7 +17,7 @@
 
 READ_S = 1.5
 COMMIT_S = 2.5
-RENEW_S = 1.0
+RENEW_S = 1.5  # a slow answer still counts from its sending
 CLOUD_S = 8.0
 COMMAND_S = 2.0
 PAGE = 1000
