--- a/runcourse/cli.py
+++ b/runcourse/cli.py
@@ -70,7 +70,7 @@
 def _serve(args: argparse.Namespace) -> int:
     platform = load_platform(args.config)
     operators = load_operators(args.operators)
-    import asyncio
+    import uvloop
 
     from .daemon import Daemon
 
@@ -78,7 +78,7 @@
         await Daemon(platform, operators).run()
 
     try:
-        asyncio.run(run())
+        uvloop.run(run())
     except KeyboardInterrupt:
         return 130
     except OSError as problem:
