--- a/runcourse/core/scheduler.py
+++ b/runcourse/core/scheduler.py
@@ -5,6 +5,7 @@
 import heapq
 import math
 from collections.abc import Callable
+from functools import cache
 from itertools import groupby
 from typing import Any
 
@@ -44,6 +45,9 @@
 LONGEST_GAP_S = 0.25
 
 
+Usable = Callable[[], list[Machine]]
+
+
 class Work:
     """What is left to do of one open job of an owned share."""
 
@@ -104,7 +108,8 @@
         self._finished: dict[JobId, Work] = {}  # with finishes that are not stored yet
         self._weighed = 0
         self._queued = 0  # jobs that waited in the newest turn
-        self._held: dict[ShareNo, tuple[Instant, dict[str, float]]] = {}  # CPUs that hold an image
+        # CPUs that hold an image, and CPUs of all usable machines
+        self._held: dict[ShareNo, tuple[Instant, dict[str, float], float]] = {}
         self._lasting = 0.0  # CPUs of services in the share whose turn it is
         # Sizes for which, in this turn, nothing could be stopped to make room; by who asks.
         self._hopeless: dict[tuple[Any, ...], list[Size]] = {}
@@ -288,8 +293,8 @@
         work.errors.clear()
         work.fails_after = 0.0
 
-    def _probe(self, work: Work, usable: list[Machine], claimed: set[MachineId],
-               unlocated: dict[Team, Size]) -> None:
+    def _probe(self, work: Work, usable: Usable, roomy: list[Machine],
+               claimed: set[MachineId], unlocated: dict[Team, Size]) -> None:
         """One task of a job that fails wherever it starts, in room that nobody else took, on a
         machine where it has not failed yet and, if there is one, that holds its image."""
         if self._goes_well(work):
@@ -299,7 +304,7 @@
         if self.cx.now < work.not_before or any(work.zones.values()):
             return
         size = work.job.size
-        fits = [m for m in usable if m.id not in claimed and size.fits(m.room)
+        fits = [m for m in roomy if m.id not in claimed and size.fits(m.room)
                 and self._permits(work.job, m)]
         fits = [m for m in fits if m.id not in work.errors] or fits
         fits = [m for m in fits if work.job.spec.image in m.images] or fits
@@ -404,15 +409,23 @@
         unlocated = self._unlocated(holding, hidden)
         order = {work.job.uid: self._urgency(work) for work in waiting}
         waiting.sort(key=lambda work: order[work.job.uid])
-        usable = [m for m in self.fleet.of_share(holding.number) if self.fleet.usable(m)]
-        self._lasting = sum(m.lasting for m in usable)
+        machines = self.fleet.of_share(holding.number)
+        self._lasting = sum(m.lasting for m in machines)
+
+        @cache
+        def usable() -> list[Machine]:
+            return [m for m in machines if self.fleet.usable(m)]
+
         claimed: set[MachineId] = set()
         unmet: list[tuple[Job, int, tuple[str, ...]]] = []
         # Sizes that found no room in this turn: what is no smaller won't find any either.
         full: dict[tuple[Any, ...], list[Size]] = {}
         least = Size(*map(min, zip(*(work.job.size for work in (*waiting, *mistaken)),
                                    strict=True)))
-        roomy = [m for m in usable if least.fits(m.room)]
+        # Most machines of a busy fleet are full: whether they are usable is asked only when
+        # something might be stopped there.
+        roomy = [m for m in machines if m.room.cpus + 1e-9 >= least.cpus
+                 and least.fits(m.room) and self.fleet.usable(m)]
         plenty = self._plentiful(holding, waiting, usable, roomy)
         self._serve_aged(holding, waiting, usable, roomy, claimed, unlocated)
         # Class by class: what leaves a machine to others must not stop them for it at once.
@@ -431,12 +444,12 @@
         self.unmet[holding.number] = unmet
         # Last, never hired for, and nothing stops for them.
         for work in mistaken:
-            self._probe(work, roomy, claimed, unlocated)
+            self._probe(work, usable, roomy, claimed, unlocated)
             # Looked at again when the next try is due, or soon while one goes on or found no room.
             again = now + 1.0 if now >= work.not_before or work.zones else work.not_before
             self._due_at = min(self._due_at, Instant(again))
 
-    def _serve_aged(self, holding: Holding, waiting: list[Work], usable: list[Machine],
+    def _serve_aged(self, holding: Holding, waiting: list[Work], usable: Usable,
                     roomy: list[Machine], claimed: set[MachineId],
                     unlocated: dict[Team, Size]) -> None:
         """Work that is long overdue makes way steadily: its first task goes before all else, and
@@ -473,7 +486,7 @@
             return count
         return min(count, math.ceil(count * spec.estimate_s / MACHINE_S))
 
-    def _serve_last(self, work: Work, usable: list[Machine], roomy: list[Machine],
+    def _serve_last(self, work: Work, usable: Usable, roomy: list[Machine],
                     claimed: set[MachineId], unlocated: dict[Team, Size],
                     full: dict[tuple[Any, ...], list[Size]],
                     unmet: list[tuple[Job, int, tuple[str, ...]]]) -> None:
@@ -482,7 +495,7 @@
             closed = tuple(z for z in sorted(work.zones) if not self._zone_open(work, z))
             unmet.append((work.job, missing, closed))
 
-    def _serve(self, work: Work, usable: list[Machine], roomy: list[Machine],
+    def _serve(self, work: Work, usable: Usable, roomy: list[Machine],
                claimed: set[MachineId], unlocated: dict[Team, Size],
                full: dict[tuple[Any, ...], list[Size]], last: bool) -> int:
         """Start what fits on the `roomy` machines; returns how many tasks found none. Only the
@@ -504,7 +517,7 @@
                 return len(work.pending)
         return self._fill(work, usable, fits, claimed, unlocated, last)
 
-    def _plentiful(self, holding: Holding, waiting: list[Work], usable: list[Machine],
+    def _plentiful(self, holding: Holding, waiting: list[Work], usable: Usable,
                    roomy: list[Machine]) -> frozenset[str]:
         """Extension: while more waits than there is room for, images that enough machines hold
         for their part of what waits. Their tasks leave machines without the image to others
@@ -514,17 +527,19 @@
             cpus = len(work.pending) * work.job.size.cpus
             wanted[work.job.spec.image] = wanted.get(work.job.spec.image, 0.0) + cpus
         total = sum(wanted.values())
-        if not usable or total <= sum(m.room.cpus for m in roomy):
+        if total <= sum(m.room.cpus for m in roomy):
             return frozenset()
-        at, held = self._held.get(holding.number, (LONG_AGO, {}))
+        at, held, cpus = self._held.get(holding.number, (LONG_AGO, {}, 0.0))
         if self.cx.now >= at + HELD_EVERY_S:
-            held = {}
-            for machine in usable:
+            held, cpus = {}, 0.0
+            for machine in usable():
                 assert machine.type is not None
+                cpus += machine.type.cpus
                 for image in (*self._fetching(machine), *machine.images):
                     held[image] = held.get(image, 0.0) + machine.type.cpus
-            self._held[holding.number] = (self.cx.now, held)
-        cpus = sum(m.type.cpus for m in usable if m.type is not None)
+            self._held[holding.number] = (self.cx.now, held, cpus)
+        if not cpus:
+            return frozenset()
         return frozenset(image for image, part in wanted.items()
                          if held.get(image, 0.0) / cpus >= min(PLENTY * part / total, 1.0))
 
@@ -649,7 +664,7 @@
         dear = 0.0 if machine.record.spot or machine.lasting > 0 or job.spec.service else 0.3
         return lasting + 0.2 * machine.used.cpus / cpus - dear
 
-    def _fill(self, work: Work, usable: list[Machine], fits: list[Machine],
+    def _fill(self, work: Work, usable: Usable, fits: list[Machine],
               claimed: set[MachineId], unlocated: dict[Team, Size], last: bool,
               most: float = math.inf) -> int:
         """Start what fits, `most` tasks at the most; returns how many found no machine. `fits`
@@ -665,7 +680,8 @@
         held = self._room_with_image(work, usable, fits, claimed)
         pool = self._sample(fits, len(work.pending))
         scored = [(-self._score(job, m), n, m) for n, m in enumerate(pool)]
-        attempt = usable[0].share.next_attempt() if usable else None
+        holding = self.shares.mine.get(work.share)
+        attempt = holding.next_attempt() if holding is not None else None
         if job.spec.gang:
             # Mates know each other by their common attempt, so a gang starts as a whole.
             if any(work.zones.values()):
@@ -709,7 +725,7 @@
                 self._make_room(work, usable, claimed, missing)
         return missing
 
-    def _room_with_image(self, work: Work, usable: list[Machine], fits: list[Machine],
+    def _room_with_image(self, work: Work, usable: Usable, fits: list[Machine],
                          claimed: set[MachineId]) -> int:
         """Extension: replicas that are promised to start sooner than their image can be fetched
         take the room of lesser work on machines that hold it. For how many tasks room is being
@@ -747,7 +763,7 @@
         scored[:] = [entry for entry in scored if entry[2].record.zone in fitting]
         return bool(fitting)
 
-    def _make_room(self, work: Work, machines: list[Machine], claimed: set[MachineId],
+    def _make_room(self, work: Work, usable: Usable, claimed: set[MachineId],
                    missing: int, within: float = math.inf) -> int:
         """Stop lesser work where the waiting task then fits, and has its image `within`
         seconds; least work lost first. Returns for how many tasks.
@@ -780,7 +796,7 @@
             return lost + (self._fetch_s(job, machine) if job.spec.service else 0.0), victims
 
         candidates: list[tuple[float, str, Machine]] = []
-        pool = self._sample([m for m in machines if m.id not in claimed
+        pool = self._sample([m for m in usable() if m.id not in claimed
                              and self._permits(job, m)], 4 * missing)
         # What there is to stop is weighed task by task, and a machine may hold a hundred.
         self._weighed += sum(len(m.placements) for m in pool) // PLACEMENTS_WEIGH
--- a/tests/test_shortage.py
+++ b/tests/test_shortage.py
@@ -29,10 +29,10 @@
             m.images[image] = 1.0
     works = [waiting(share.number, image, n, deadline_s=10.0 + n)
              for n, image in enumerate("cdab")]
-    plenty = scheduler._plentiful(share, works, machines, machines)
+    plenty = scheduler._plentiful(share, works, lambda: machines, machines)
     assert plenty == {"a", "b", "c", "d"}
     scheduler._held.clear()
-    assert not scheduler._plentiful(share, [], machines, machines)
+    assert not scheduler._plentiful(share, [], lambda: machines, machines)
     # One task's room on a machine that holds a and b: neither the first nor the second takes it.
     for m in node.fleet.of_share(share.number):
         if m is not machines[0]:
@@ -40,7 +40,7 @@
     for work in works:
         work.job.submitted = node.cx.now
         scheduler.work[work.job.uid] = work
-    scheduler._held[share.number] = (node.cx.now, dict.fromkeys("abcd", 12.0))
+    scheduler._held[share.number] = (node.cx.now, dict.fromkeys("abcd", 12.0), 24.0)
     share.settled = True
     scheduler._turn(share)
     placed = {p.job.spec.image for p in machines[0].placements.values() if p.job is not None}
