--- a/runcourse/core/ids.py
+++ b/runcourse/core/ids.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from functools import lru_cache
 from typing import NamedTuple, NewType
 
 JobId = NewType("JobId", str)
@@ -36,6 +37,7 @@
         return f"{self.job}/{self.number}"
 
 
+@lru_cache(maxsize=16384)  # each report lists what the one before did, mostly
 def parse_task(text: str) -> TaskId:
     job, _, index = text.rpartition("/")
     if not job or not index.isdigit():
--- a/runcourse/core/scheduler.py
+++ b/runcourse/core/scheduler.py
@@ -53,7 +53,7 @@
 
     __slots__ = ("aged_until", "errors", "fails_after", "finished", "flushed_at", "flushing",
                  "job", "mistaken", "not_before", "pending", "probes", "retry_at", "share",
-                 "waits", "zones")
+                 "tried", "waits", "zones")
 
     def __init__(self, job: Job, share: ShareNo) -> None:
         self.job = job
@@ -69,6 +69,7 @@
         self.errors: dict[MachineId, int] = {}  # where its tasks failed, how often
         self.fails_after = 0.0  # seconds at the most from the start of a task to its failure
         self.mistaken = False  # fails wherever it is started, as it seems
+        self.tried: set[int] = set()  # tasks of which machines may still list a former attempt
         self.probes = 0  # tries since that was found
         self.waits = ""  # why its next task waits
 
@@ -207,6 +208,7 @@
         if (not work.finished >> index & 1 and not work.job.is_done(index)
                 and placement.task not in self.fleet.where):
             work.pending[index] = None
+            work.tried.add(index)
             if work.job.spec.gang:
                 # The mates can't go on without it: all start anew together.
                 for mate in self.fleet.of_job(work.job.uid):
@@ -699,7 +701,8 @@
             task = TaskId(job.uid, next(reversed(work.pending)))
             aside = []
             while scored and not (self._zone_open(work, scored[0][2].record.zone)
-                                  and not scored[0][2].holds(task)):
+                                  and not (task.number in work.tried
+                                           and scored[0][2].holds(task))):
                 entry = heapq.heappop(scored)
                 if self._zone_open(work, entry[2].record.zone):
                     aside.append(entry)  # holds a former attempt of this task only
