--- /dev/null
+++ b/runcourse/core/machine.py
@@ -0,0 +1,180 @@
+"""One machine as its share's owner knows it, its record in the store, and what is placed on it."""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from typing import Any, NamedTuple
+
+from .ids import (
+    LONG_AGO,
+    Attempt,
+    Instant,
+    JobId,
+    MachineId,
+    Session,
+    ShareNo,
+    Stamp,
+    TaskId,
+    Token,
+    make_token,
+)
+from .jobs import Job
+from .placement import NOTHING, Size
+from .shares import Holding
+from .types import MachineType
+
+Key = tuple[TaskId, Attempt]
+RUNNING = ("running", "saving")
+
+
+class Known(NamedTuple):
+    """What was known of a worker when something was asked of it."""
+
+    number: tuple[int, int]  # session and sequence
+    token: Token
+
+
+class Record(NamedTuple):
+    """What the state service says of a machine."""
+
+    share: ShareNo
+    type: str
+    zone: str
+    spot: bool
+    leaving: bool
+    stamp: Stamp
+
+    def value(self, **changes: Any) -> dict[str, Any]:
+        record = self._replace(**changes)
+        return {"share": record.share, "type": record.type, "zone": record.zone,
+                "spot": record.spot, "leaving": record.leaving}
+
+
+class Placement:
+    __slots__ = ("attempt", "cause", "commanded", "do_token", "fence", "forced", "given",
+                 "grace_s", "job", "machine", "ran_since", "seen", "since", "size", "stage",
+                 "stopping", "task")
+
+    def __init__(self, task: TaskId, attempt: Attempt, machine: Machine, job: Job | None,
+                 now: Instant) -> None:
+        self.task = task
+        self.attempt = attempt
+        self.machine = machine
+        self.job = job
+        self.size = job.size if job else NOTHING
+        self.stage = "sent"  # sent, fetching, running, saving, ended
+        self.cause = ""
+        self.seen = False  # some message listed it
+        self.commanded = False  # a command with the order to start it may have left
+        self.do_token = Token(0)  # of the newest command with that order
+        self.given = -1  # number of the answered report whose answer told the worker to start it
+        self.stopping = False
+        self.grace_s = 0.0
+        self.forced = False
+        self.fence = Token(0)
+        self.since = now
+        self.ran_since = Instant(0.0)
+
+    @property
+    def active(self) -> bool:
+        return self.stage != "ended"
+
+
+class Machine:
+    __slots__ = ("added", "addr", "asked_at", "born", "counter", "did_well", "do_after", "do_open",
+                 "doubt", "doubted_at", "draining_until", "empty_since", "errors",
+                 "expired_session", "fetches", "full_until", "heard", "id", "images",
+                 "last_answer", "lasting", "moving", "notice_until", "placements", "probing",
+                 "quarantined_until", "reached", "record", "report_number", "room", "seq",
+                 "session", "settled", "share", "token_seen", "type", "up_since", "used")
+
+    def __init__(self, id: MachineId, record: Record, holding: Holding, now: Instant) -> None:
+        self.id = id
+        self.record = record
+        self.share = holding
+        self.type: MachineType | None = None
+        self.addr = ""
+        self.session = Session(0)
+        self.seq = -1
+        self.report_number = (Session(0), -1)  # of the newest report, live answers left out
+        self.born = Token(0)  # reports with a lesser token are of a former life
+        self.asked_at = LONG_AGO  # when its state was last asked for
+        self.probing = False
+        self.reached = LONG_AGO  # when a live answer last came
+        self.token_seen = Token(0)
+        self.counter = 0
+        # A machine recorded after the takeover can't hold tasks of an earlier owner: it was
+        # new, or moved while empty.
+        self.settled = record.stamp > holding.epoch
+        self.expired_session = Session(0)
+        self.last_answer = now if self.settled else holding.since
+        self.heard = LONG_AGO
+        self.up_since = Instant(0.0)
+        self.notice_until: Instant | None = None
+        self.placements: dict[Key, Placement] = {}
+        self.used = NOTHING
+        self.room = NOTHING
+        self.fetches: dict[str, float] | None = None  # images under way; None: to be counted
+        self.images: OrderedDict[str, float] = OrderedDict()
+        self.do_open = False
+        self.do_after = now
+        # Reachable is more than heard: only a token of ours shown by the worker proves that
+        # answers or commands arrive there. Until it shows this one, nothing new goes there,
+        # and an order of unknown fate may yet be carried out.
+        self.doubt = self.base_token
+        self.doubted_at = now
+        self.full_until = now
+        self.quarantined_until = now
+        self.errors: dict[JobId, Instant] = {}  # whose tasks failed here since one did well
+        self.did_well = LONG_AGO  # when a task last completed here
+        self.empty_since: Instant | None = now
+        self.added = now
+        self.draining_until = now  # its replicas move away, nothing new comes
+        self.lasting = 0.0  # CPUs of services placed on it
+        self.moving = False  # a change of its record is under way: nothing new goes there
+
+    @property
+    def token(self) -> Token:
+        return make_token(Stamp(max(self.share.epoch, self.record.stamp)), self.counter)
+
+    @property
+    def base_token(self) -> Token:
+        """No earlier owner's token reaches it."""
+        return make_token(Stamp(max(self.share.epoch, self.record.stamp)), 0)
+
+    def set_type(self, type_: MachineType | None) -> None:
+        self.type = type_
+        self.use(self.used)
+
+    def use(self, used: Size) -> None:
+        self.used = used
+        self.room = self.type.size.minus(used) if self.type else NOTHING
+
+    def raise_fence(self) -> Token:
+        self.counter += 1
+        return self.token
+
+    @property
+    def known(self) -> Known:
+        return Known((self.session, self.seq), self.token_seen)
+
+    @property
+    def doubted(self) -> bool:
+        """Not shown to be reachable since something spoke against it."""
+        return self.token_seen < self.doubt
+
+    def doubt_reach(self, now: Instant) -> None:
+        if not self.doubted:
+            self.doubted_at = now
+        self.doubt = self.raise_fence()
+
+    def holds(self, task: TaskId) -> bool:
+        return any(t == task for t, _ in self.placements)
+
+    @property
+    def busy(self) -> bool:
+        """Something is on it, or may be, or may yet come to be."""
+        # One that was never heard holds nothing: it must be possible to return what never came
+        # up, or it is paid for ever.
+        return (bool(self.placements) or self.do_open or not self.settled
+                or (self.doubted and self.heard >= 0))
--- /dev/null
+++ b/runcourse/core/moves.py
@@ -0,0 +1,143 @@
+"""Emptying machines: those under notice, those to be returned, those that another share needs."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Mapping
+
+from .context import Context
+from .ids import Instant, JobId, ShareNo
+from .machine import Machine, Placement
+from .machines import Fleet
+from .placement import Size
+from .shares import Shares
+from .work import Work, grace, loss, permits, zone_open
+
+DRAIN_S = 45.0  # a machine that is not empty by then takes tasks again
+SETTLED_S = 35.0  # a replica that started lately is not moved
+
+
+class Moves:
+    def __init__(self, cx: Context, shares: Shares, fleet: Fleet, work: Mapping[JobId, Work]
+                 ) -> None:
+        self.cx = cx
+        self.shares = shares
+        self.fleet = fleet
+        self.work = work
+        self._draining: list[Machine] = []
+
+    def _moves_to(self, placement: Placement, target: Machine) -> bool:
+        """Would the zones still be as the job asks, with this task there instead?"""
+        work = self.work.get(placement.task.job)
+        here = placement.machine.record.zone
+        there = target.record.zone
+        if work is None:
+            return False
+        return here == there or (zone_open(work, there) and not work.job.spec.together)
+
+    def drain(self, share: ShareNo, number: int) -> None:
+        """Empty the machines of the share that hold the fewest replicas: nothing new goes
+        there, and once only replicas are left they move."""
+        lasting = [m for m in self.fleet.of_share(share) if self.fleet.usable(m) and m.lasting > 0]
+        lasting.sort(key=lambda m: (m.lasting, m.id))
+        for machine in lasting[:min(number, len(lasting) - 1)]:
+            machine.draining_until = Instant(self.cx.now + DRAIN_S)
+            self._draining.append(machine)
+
+    def vacate(self, share: ShareNo, rank: int, size: Size,
+               serves: Callable[[Machine], bool]) -> Machine | None:
+        """Stop all that runs on one machine, if all of it ranks lower; least work lost first.
+        Nothing new goes there until it has changed its share."""
+        now = self.cx.now
+        best: tuple[float, str, Machine] | None = None
+        for machine in self.fleet.of_share(share):
+            active = [p for p in machine.placements.values() if p.active]
+            if (not self.fleet.usable(machine) or not serves(machine) or machine.type is None
+                    or not size.fits(machine.type.size)
+                    or any(p.job is None or p.job.spec.rank <= rank for p in active)):
+                continue
+            lost = sum(loss(p, now) for p in active)
+            if best is None or (lost, machine.id) < best[:2]:
+                best = (lost, machine.id, machine)
+        if best is None:
+            return None
+        machine = best[2]
+        machine.draining_until = Instant(now + DRAIN_S)
+        for placement in list(machine.placements.values()):
+            self.fleet.stop(placement, grace(placement))
+        return machine
+
+    def soon_empty(self, share: ShareNo, serves: Callable[[Machine], bool]) -> list[Machine]:
+        """Machines without replicas, those first that fall empty soonest as it seems, and idle
+        for the least until then."""
+        now = self.cx.now
+        found: list[tuple[float, str, Machine]] = []
+        for machine in self.fleet.of_share(share):
+            if machine.lasting > 0 or not self.fleet.usable(machine) or not serves(machine):
+                continue
+            left = [max(0.0, p.job.spec.estimate_s - (now - p.ran_since if p.ran_since else 0.0))
+                    for p in machine.placements.values() if p.active and p.job is not None]
+            found.append((max(left, default=0.0) * max(len(left), 1), machine.id, machine))
+        return [machine for _, _, machine in sorted(found, key=lambda f: f[:2])]
+
+    def _move_away(self, machine: Machine) -> None:
+        """Move the replicas if the others have room and hold their images: then a move takes
+        a moment only, and the empty machine can be returned."""
+        now = self.cx.now
+        placements = list(machine.placements.values())
+        if not all(p.job is not None and p.job.spec.service and p.stage == "running"
+                   and not p.stopping and now - p.ran_since > SETTLED_S for p in placements):
+            return
+        machines = [m for m in self.fleet.of_share(machine.share.number)
+                    if m is not machine and self.fleet.usable(m) and m.placements]
+        rooms = {m.id: m.room for m in machines}
+        for placement in placements:
+            assert placement.job is not None
+            target = next((m for m in machines
+                           if placement.job.spec.image in m.images
+                           and permits(placement.job, m)
+                           and self._moves_to(placement, m)
+                           and placement.size.fits(rooms[m.id])), None)
+            if target is None:
+                return
+            rooms[target.id] = rooms[target.id].minus(placement.size)
+        self.cx.log("info", f"machine {machine.id}: {len(placements)} replicas move away")
+        self._draining.remove(machine)
+        machine.draining_until = Instant(now + DRAIN_S)
+        for placement in placements:
+            self.fleet.stop(placement)
+
+    def _leave(self, machine: Machine) -> None:
+        """A machine under notice: what won't end in time and finds room elsewhere stops now,
+        with time to save, rather than when the machine is taken."""
+        now = self.cx.now
+        left = (machine.notice_until or now) - now
+        others = [m for m in self.fleet.of_share(machine.share.number) if self.fleet.usable(m)]
+        rooms = {m.id: m.room for m in others}
+        for placement in list(machine.placements.values()):
+            job = placement.job
+            if job is None or not placement.active or placement.stopping:
+                continue
+            if not job.spec.service and placement.stage == "running":
+                remaining = job.spec.estimate_s - (now - placement.ran_since)
+                if remaining < left:
+                    continue
+            target = next((m for m in others if permits(job, m)
+                           and self._moves_to(placement, m)
+                           and placement.size.fits(rooms[m.id])), None)
+            saving = job.spec.checkpoint_s > 0 and left < job.spec.save_s + 2.0
+            if target is None and not saving:
+                continue
+            if target is not None:
+                rooms[target.id] = rooms[target.id].minus(placement.size)
+            self.fleet.stop(placement, grace(placement))
+
+    def tick(self) -> None:
+        for machine in self.fleet.machines.values():
+            if machine.notice_until is not None and self.shares.may_command(machine.share.number):
+                self._leave(machine)
+        for machine in list(self._draining):
+            if (self.cx.now >= machine.draining_until
+                    or self.fleet.machines.get(machine.id) is not machine):
+                self._draining.remove(machine)
+            elif self.shares.may_command(machine.share.number):
+                self._move_away(machine)
--- a/runcourse/core/node.py
+++ b/runcourse/core/node.py
@@ -56,7 +56,7 @@
         self.quota = Quota(cx)
         self.scheduler = Scheduler(cx, self.store, self.shares, self.jobs, self.quota)
         self.fleet = Fleet(cx, self.store, self.shares, self.jobs, self.scheduler)
-        self.scheduler.fleet = self.fleet
+        self.scheduler.join(self.fleet)
         self.shares.all_heard = self.fleet.all_heard
         self.rental = Rental(cx, self.store, self.authority, self.shares, self.fleet,
                              self.scheduler)
@@ -83,7 +83,7 @@
         self._dispatch(event)
         if not self.authority.live:
             self.authority.tick()  # a restart is short of time: workers' leases run
-        self.scheduler.flush()
+        self.scheduler.finishes.flush()
         self.scheduler.turn()
         self.fleet.push()
         effects, cx.out = cx.out, []
--- /dev/null
+++ b/runcourse/core/order.py
@@ -0,0 +1,58 @@
+"""In what order waiting work is served."""
+
+from __future__ import annotations
+
+import math
+
+from .context import Context
+from .ids import Instant
+from .quota import Quota
+from .work import Work, begun
+
+AGED_S = 120.0  # a job that waits longer is overdue, or smaller ones would pass it for ever
+
+
+class Order:
+    def __init__(self, cx: Context, quota: Quota) -> None:
+        self.cx = cx
+        self.quota = quota
+        self._lateness: dict[str, tuple[float, ...]] = {}
+        for aim in cx.platform.settings.objectives:
+            if aim.kind == "deadline" and aim.job_class is not None:
+                times = {*self._lateness.get(aim.job_class, ()), aim.times or 1.0}
+                self._lateness[aim.job_class] = tuple(sorted(times))
+        self.within = {aim.job_class: aim.within_s for aim in cx.platform.settings.objectives
+                        if aim.kind == "wait" and aim.job_class is not None
+                        and aim.within_s is not None}
+        self._finished_within: dict[str, list[float]] = {}
+        for aim in cx.platform.settings.objectives:
+            if aim.kind == "finished" and aim.job_class is not None and aim.within_s is not None:
+                self._finished_within.setdefault(aim.job_class, []).append(aim.within_s)
+
+    def urgency(self, work: Work) -> tuple[bool, int, int, float, str]:
+        """Guarantees, rank, then the nearest deadline among those that can still be kept: a job
+        that will be late anyway must not make the next one late too."""
+        job = work.job
+        spec = job.spec
+        now = self.cx.now
+        started = begun(work)
+        key = (not self.quota.guaranteed(job), spec.rank)
+        if not started and now > job.submitted + AGED_S and now >= work.aged_until:
+            work.aged_until = Instant(now + AGED_S)
+        if spec.service or spec.gang:
+            if now < work.aged_until:
+                return (False, -1, 0, job.submitted, job.uid)
+            return (*key, 0, job.submitted, job.uid)
+        if not spec.deadline_s:
+            return (*key, 0, math.inf, job.uid)
+        # Estimates are often wrong by half: what has begun may end sooner.
+        left = spec.estimate_s * (0.5 if started else 1.0)
+        lasts = [times * spec.deadline_s for times in self._lateness.get(spec.lane, (1.0,))]
+        lasts += self._finished_within.get(spec.lane, ())
+        tier = sum(now + left > job.submitted + last for last in lasts)
+        return (*key, tier, job.submitted + spec.deadline_s, job.uid)
+
+    def overdue(self, work: Work) -> bool:
+        spec = work.job.spec
+        return (not spec.service and not spec.gang and not work.mistaken
+                and self.cx.now > work.job.submitted + AGED_S)
--- a/runcourse/core/quota.py
+++ b/runcourse/core/quota.py
@@ -8,7 +8,7 @@
 from .context import Context
 from .ids import Team
 from .jobs import Job
-from .machines import Placement
+from .machine import Placement
 from .placement import NOTHING, Size, fits_times
 
 SLACK = 1e-6
--- a/runcourse/core/rental.py
+++ b/runcourse/core/rental.py
@@ -10,7 +10,8 @@
 from .authority import Authority
 from .context import Context
 from .ids import ABSENT, LONG_AGO, START, Instant, MachineId, ShareNo, Stamp, Team
-from .machines import Fleet, Machine, Record
+from .machine import Machine, Record
+from .machines import Fleet
 from .placement import Size, fits_times
 from .scheduler import Scheduler
 from .shares import Shares
@@ -647,7 +648,7 @@
             machine = self.fleet.machines.get(id)
             if machine is not None and machine.type is not None and other == to:
                 left -= machine.type.cpus
-        for machine in self.scheduler.soon_empty(
+        for machine in self.scheduler.moves.soon_empty(
                 share, lambda m: self._serves(need, m.record.type, m.record.zone, m.record.spot)
                 and m.type is not None and need.size.fits(m.type.size)):
             assert machine.type is not None
@@ -665,7 +666,7 @@
                 or any(job.spec.rank <= need.rank for job, _, _
                        in self.scheduler.unmet.get(share, ()))):
             return
-        machine = self.scheduler.vacate(
+        machine = self.scheduler.moves.vacate(
             share, need.rank, need.size,
             lambda m: self._serves(need, m.record.type, m.record.zone, m.record.spot))
         if machine is not None:
@@ -855,7 +856,7 @@
         if message["t"] == "drain":
             share = ShareNo(int(message["share"]))
             if self.shares.may_command(share):
-                self.scheduler.drain(share, int(message["n"]))
+                self.scheduler.moves.drain(share, int(message["n"]))
             return
         machine = self.fleet.machines.get(MachineId(str(message["machine"])))
         if (machine is None or machine.busy or machine.moving or machine.record.leaving
--- /dev/null
+++ b/runcourse/core/work.py
@@ -0,0 +1,103 @@
+"""What is left to do of an open job, and where its tasks may go."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from .ids import LONG_AGO, Instant, MachineId, ShareNo
+from .jobs import Job
+from .machine import Machine, Placement
+
+Usable = Callable[[], list[Machine]]  # the machines of a share that may take tasks
+
+
+class Work:
+    """What is left to do of one open job of an owned share."""
+
+    __slots__ = ("aged_until", "errors", "fails_after", "finished", "flushed_at", "flushing",
+                 "job", "mistaken", "not_before", "pending", "probes", "retry_at", "share",
+                 "tried", "waits", "zones")
+
+    def __init__(self, job: Job, share: ShareNo) -> None:
+        self.job = job
+        self.share = share
+        self.pending: dict[int, None] = {}  # to be started, the next one last
+        self.zones: dict[str, int] = {}  # tasks placed per zone
+        self.finished = 0  # bits of tasks that are done but not stored yet
+        self.flushing = False
+        self.flushed_at = LONG_AGO
+        self.retry_at = LONG_AGO
+        self.not_before = LONG_AGO
+        self.aged_until = LONG_AGO  # goes first and is not stopped for others until then
+        self.errors: dict[MachineId, int] = {}  # where its tasks failed, how often
+        self.fails_after = 0.0  # seconds at the most from the start of a task to its failure
+        self.mistaken = False  # fails wherever it is started, as it seems
+        self.tried: set[int] = set()  # tasks of which machines may still list a former attempt
+        self.probes = 0  # tries since that was found
+        self.waits = ""  # why its next task waits
+
+
+def begun(work: Work) -> bool:
+    return bool(work.job.done_bits or work.finished or any(work.zones.values()))
+
+
+def permits(job: Job, machine: Machine) -> bool:
+    spec = job.spec
+    record = machine.record
+    return (
+        (spec.types is None or record.type in spec.types)
+        and (spec.zone is None or record.zone == spec.zone)
+        and (spec.spot or not record.spot)
+    )
+
+
+def zone_open(work: Work, zone: str, more: int = 0) -> bool:
+    """`spread` and `together`, given the job's other tasks at this moment, and `more`."""
+    spec = work.job.spec
+    placed = work.zones.get(zone, 0) + more
+    if spec.spread and placed >= (spec.tasks + 1) // 2:
+        return False
+    return not (spec.together and any(n for z, n in work.zones.items() if z != zone))
+
+
+def fetching(machine: Machine) -> dict[str, float]:
+    """Images under way to the machine, and their size."""
+    images = machine.fetches
+    if images is None:
+        images = machine.fetches = {}
+        for placement in machine.placements.values():
+            if placement.stage in ("sent", "fetching") and placement.job is not None:
+                other = placement.job.spec
+                if other.image not in machine.images:
+                    images[other.image] = other.image_gb
+    return images
+
+
+def fetch_s(job: Job, machine: Machine) -> float:
+    """Seconds until the machine holds the job's image: fetches under way share its rate."""
+    image = job.spec.image
+    if image in machine.images or machine.type is None:
+        return 0.0
+    under_way = fetching(machine)
+    gb = sum(under_way.values())
+    if image not in under_way:
+        gb += job.spec.image_gb
+    return gb / (machine.type.fetch_gb_per_s or 1.0)
+
+
+def fetches_or_holds(image: str, machine: Machine) -> bool:
+    return image in machine.images or image in fetching(machine)
+
+
+def loss(placement: Placement, now: Instant) -> float:
+    if placement.stage != "running" or placement.job is None:
+        return 0.0
+    ran = now - placement.ran_since
+    if placement.job.spec.checkpoint_s > 0:
+        return min(placement.job.spec.save_s, ran)
+    return ran
+
+
+def grace(placement: Placement) -> float:
+    spec = placement.job.spec if placement.job else None
+    return spec.save_s if spec and spec.checkpoint_s > 0 else 0.0
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -7,11 +7,12 @@
 from runcourse.core.context import Context
 from runcourse.core.ids import Instant, ShareNo
 from runcourse.core.jobs import Job
-from runcourse.core.machines import Machine, Placement, Record
+from runcourse.core.machine import Machine, Placement, Record
 from runcourse.core.placement import Size
 from runcourse.core.quota import Quota
-from runcourse.core.scheduler import Scheduler, Work
+from runcourse.core.scheduler import Scheduler
 from runcourse.core.shares import Holding
+from runcourse.core.work import Work, fetch_s
 
 
 def ready(**settings: Any) -> World:
@@ -121,16 +122,16 @@
     scheduler.cx = cx
     job = Job(spec("j-000001", image="one", image_gb=1.0), 1)  # type: ignore[arg-type]
     other = Job(spec("j-000002", image="two", image_gb=3.0), 1)  # type: ignore[arg-type]
-    assert scheduler._fetch_s(job, machine) == 1.0
+    assert fetch_s(job, machine) == 1.0
     placement = Placement((other.uid, 0), 1, machine, other, Instant(0.0))  # type: ignore[arg-type]
     machine.placements[(placement.task, placement.attempt)] = placement
     machine.fetches = None
-    assert scheduler._fetch_s(job, machine) == 4.0
+    assert fetch_s(job, machine) == 4.0
     machine.images["two"] = 3.0
     machine.fetches = None
-    assert scheduler._fetch_s(job, machine) == 1.0
+    assert fetch_s(job, machine) == 1.0
     machine.images["one"] = 1.0
-    assert scheduler._fetch_s(job, machine) == 0.0
+    assert fetch_s(job, machine) == 0.0
 
 
 def test_a_job_that_will_be_late_anyway_goes_last_unless_begun() -> None:
@@ -140,7 +141,7 @@
     node = world.nodes["n0"]
     assert node is not None
     scheduler = node.scheduler
-    scheduler._lateness["x"] = (Objective("deadline", "x", 0.9, 1.0).times or 1.0, 1.5)
+    scheduler.order._lateness["x"] = (Objective("deadline", "x", 0.9, 1.0).times or 1.0, 1.5)
     now = node.cx.now
 
     def work(uid: str, due: float) -> Work:
@@ -149,10 +150,10 @@
         return Work(job, ShareNo(0))
 
     late, later, fine = work("j-000001", 5.0), work("j-000002", 8.0), work("j-000003", 60.0)
-    order = sorted([late, later, fine], key=scheduler._urgency)
+    order = sorted([late, later, fine], key=scheduler.order.urgency)
     assert [w.job.uid for w in order] == ["j-000003", "j-000002", "j-000001"]
     late.finished = 1
-    assert min([late, later, fine], key=scheduler._urgency) is late
+    assert min([late, later, fine], key=scheduler.order.urgency) is late
 
 
 def test_workers_that_their_owner_does_not_hear_are_relayed() -> None:
--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -8,9 +8,9 @@
 from runcourse.core import types as t
 from runcourse.core.ids import Attempt, Instant, Session, TaskId
 from runcourse.core.jobs import Job, Jobs, job_value
-from runcourse.core.machines import Machine, Placement
+from runcourse.core.machine import Machine, Placement
 from runcourse.core.node import Node
-from runcourse.core.scheduler import Work
+from runcourse.core.work import Work, permits
 
 
 def owner_of_some(world: World) -> tuple[Node, Machine]:
@@ -74,17 +74,16 @@
 
 
 def test_only_lendable_work_goes_to_spot_machines() -> None:
-    node, _ = owner_of_some(ready())
     machine = bare_machine()
     machine.record = machine.record._replace(spot=True)
     ordinary = Job(spec("j-000005"), 1)  # type: ignore[arg-type]
     lendable = Job(spec("j-000006", spot=True), 1)  # type: ignore[arg-type]
     pinned = Job(spec("j-000007", spot=True, zone="b"), 1)  # type: ignore[arg-type]
     picky = Job(spec("j-000008", spot=True, types=("x9",)), 1)  # type: ignore[arg-type]
-    assert not node.scheduler._permits(ordinary, machine)
-    assert node.scheduler._permits(lendable, machine)
-    assert not node.scheduler._permits(pinned, machine)
-    assert not node.scheduler._permits(picky, machine)
+    assert not permits(ordinary, machine)
+    assert permits(lendable, machine)
+    assert not permits(pinned, machine)
+    assert not permits(picky, machine)
 
 
 def test_a_node_without_store_and_peers_stops_though_its_workers_reach_it() -> None:
--- a/tests/test_meetings.py
+++ b/tests/test_meetings.py
@@ -28,7 +28,7 @@
 
     def flush(bits: int) -> t.Commit:
         work.finished |= bits
-        node.scheduler._store_finishes(work, complete=False)
+        node.scheduler.finishes.store_some(work, complete=False)
         node.store._flush()
         commit = next(e for e in node.cx.out if isinstance(e, t.Commit))
         node.cx.out.clear()
@@ -152,7 +152,7 @@
     machine = next(m for m in node.fleet.of_share(work.share) if m.placements)
     placement = next(p for p in machine.placements.values() if p.active)
     placement.ran_since = Instant(node.cx.now - 0.5)
-    node.scheduler._failed(work, placement)
+    node.scheduler.failures.failed(work, placement)
     assert not work.mistaken
 
 
--- a/tests/test_shortage.py
+++ b/tests/test_shortage.py
@@ -8,8 +8,11 @@
 
 from runcourse.core.ids import Instant, ShareNo
 from runcourse.core.jobs import Job
+from runcourse.core.order import AGED_S
 from runcourse.core.placement import NOTHING
-from runcourse.core.scheduler import AGED_PART, AGED_S, YOUNG_S, Work
+from runcourse.core.preemption import YOUNG_S
+from runcourse.core.scheduler import AGED_PART
+from runcourse.core.work import Work
 
 
 def waiting(share: ShareNo, image: str, number: int, **changes: Any) -> Work:
@@ -122,7 +125,7 @@
             node.fleet.place(borrower.job, number, m, share.next_attempt())
 
     def stoppable(job: Job) -> bool:
-        return scheduler._victims(job, machine, True, {}) is not None
+        return scheduler.preemption.victims(job, machine, True, {}) is not None
 
     assert not stoppable(claimant.job)
     assert stoppable(replica.job), "a higher rank need not wait"
--- a/tests/test_troubles.py
+++ b/tests/test_troubles.py
@@ -10,7 +10,8 @@
 from runcourse.core import types as t
 from runcourse.core.ids import Instant, Session, TaskId, Token
 from runcourse.core.jobs import Job, job_value
-from runcourse.core.machines import Fleet, Machine
+from runcourse.core.machine import Machine
+from runcourse.core.machines import Fleet
 from runcourse.core.node import Node
 
 BOTH = pytest.mark.parametrize("members", [MEMBERS, FIVE], ids=["three", "five"])
