--- /dev/null
+++ b/runcourse/core/balance.py
@@ -0,0 +1,95 @@
+"""The parting of machines among the shares, which the leader asks their owners for."""
+
+from __future__ import annotations
+
+from .context import Context
+from .ids import Instant, MachineId, ShareNo
+from .machine import Record
+from .machines import Fleet
+from .needs import Load, Need, serves
+from .placement import fits_times
+from .shares import Shares
+from .yielding import Yielding
+
+VACATE_AFTER_S = 2.0  # work that cheap machines can't take waits so long for an empty one
+BALANCE_EVERY_S = 2.0
+UNEVEN = 1.5  # by how much more a share must ask for its CPUs before another yields some
+
+
+class Balance:
+    def __init__(self, cx: Context, shares: Shares, fleet: Fleet, loads: dict[ShareNo, Load],
+                 yielding: Yielding) -> None:
+        self.cx = cx
+        self.shares = shares
+        self.fleet = fleet
+        self.loads = loads
+        self.yielding = yielding
+        self._vacate_at = cx.now
+        self._balance_at = cx.now
+
+    def move_idle(self, unmet: dict[ShareNo, list[Need]],
+                   idle: dict[ShareNo, list[tuple[float, MachineId, Record]]]) -> None:
+        """Empty machines go towards shares with waiting tasks."""
+        for share, needs in unmet.items():
+            for need in needs:
+                for other in self.shares.all():
+                    if other == share or any(n.count > 0 for n in unmet.get(other, ())):
+                        continue
+                    for entry in list(idle[other]):
+                        seconds, id, record = entry
+                        type_ = self.fleet.types[record.type]
+                        n = fits_times(need.size, type_.size)
+                        if need.count <= 0 or seconds < 1.0:
+                            break
+                        if n and serves(need, record.type, record.zone, record.spot):
+                            need.count -= n
+                            idle[other].remove(entry)
+                            self.yielding.ask_owner(other, {"t": "give", "machine": id,
+                                                            "share": share})
+
+    def vacate_for(self, unmet: dict[ShareNo, list[Need]]) -> None:
+        """Lesser work elsewhere makes way for what cheap machines can't take: within a share
+        the scheduler stops it, but what is busy in another share never falls empty by itself
+        while arrays wait there."""
+        now = self.cx.now
+        if now < self._vacate_at:
+            return
+        waiting = sorted(((need.rank, -need.age, share, need) for share, needs in unmet.items()
+                          for need in needs if need.asked > 0 and not need.spot
+                          and need.age >= VACATE_AFTER_S), key=lambda w: w[:3])
+        for _, _, share, need in waiting:
+            others = sorted({r.share for r in self.fleet.records.values()
+                             if r.share != share and not r.leaving
+                             and serves(need, r.type, r.zone, r.spot)})
+            if others:
+                self._vacate_at = Instant(now + 1.0)
+                other = self.cx.rng.choice(others)
+                self.yielding.ask_owner(other, {"t": "vacate", "share": other, "to": share,
+                                        "need": need.raw})
+                return
+
+    def balance(self, cpus: dict[ShareNo, float]) -> None:
+        """Shares are sized by what waits and runs. While all of them are short no machine falls
+        empty by itself, so the share that has most for what it asks yields some to the one that
+        has least."""
+        now = self.cx.now
+        if now < self._balance_at:
+            return
+        asked = {s: load.used + sum(n.size.cpus * n.asked for n in load.needs)
+                 for s, load in self.loads.items() if now - load.at < 5.0}
+        total, capacity = sum(asked.values()), sum(cpus[s] for s in asked)
+        if len(asked) < 2 or total <= capacity or capacity <= 0:
+            return
+        self._balance_at = Instant(now + BALANCE_EVERY_S)
+        lacks = {s: capacity * asked[s] / total - cpus[s] for s in asked}
+        to = max(lacks, key=lambda s: lacks[s])
+        share = min(lacks, key=lambda s: lacks[s])
+        if asked[to] * cpus[share] < UNEVEN * asked[share] * cpus[to]:
+            return
+        need = max((n for n in self.loads[to].needs if n.asked > 0),
+                   key=lambda n: n.size.cpus * n.asked, default=None)
+        # Half of it: what is asked for changes while machines fall empty.
+        half = min(lacks[to], -lacks[share]) / 2
+        if need is not None:
+            self.yielding.ask_owner(share, {"t": "yield", "share": share, "to": to, "cpus": half,
+                                    "need": need.raw})
--- a/runcourse/core/node.py
+++ b/runcourse/core/node.py
@@ -199,7 +199,7 @@
         if not self.store.ready:
             self._answer(beat, AnswerBeat(beat.request, 503))
         elif record is None:
-            self.rental.reported_unknown(report)
+            self.rental.inventory.reported_unknown(report)
             self._answer(beat, AnswerBeat(beat.request, 503))
         elif record.share in self.shares.mine:
             self._own_beat(beat, record.share)
@@ -298,9 +298,9 @@
             case "load":
                 self.rental.told_load(message)
             case "unknown":
-                self.rental.told_unknown(message)
+                self.rental.inventory.told_unknown(message)
             case "retire" | "give" | "drain" | "given" | "vacate" | "yield":
-                self.rental.asked(message)
+                self.rental.yielding.asked(message)
             case "beat":
                 report = msgspec.convert(message["report"], Report)
                 self._beat(Beat(int(message["n"]), report, member))
--- /dev/null
+++ b/runcourse/core/yielding.py
@@ -0,0 +1,180 @@
+"""What an owner does with its machines beside running tasks on them: gives them to another
+share, empties them for one, has them returned."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+
+from .context import Context
+from .ids import Instant, MachineId, ShareNo, Stamp
+from .machine import Machine
+from .machines import Fleet
+from .needs import Need, serves
+from .scheduler import Scheduler
+from .shares import Shares
+from .store import MACHINE, Store
+from .types import Say
+
+VACATE_S = 15.0  # within which a machine promised to another share must be empty
+YIELD_S = 45.0  # within which a machine that another share asked for must fall empty
+
+
+class Yielding:
+    def __init__(self, cx: Context, store: Store, shares: Shares, fleet: Fleet,
+                 scheduler: Scheduler) -> None:
+        self.cx = cx
+        self.store = store
+        self.shares = shares
+        self.fleet = fleet
+        self.scheduler = scheduler
+        self._again: list[Callable[[], None]] = []
+        self._again_at = Instant(0.0)
+        self._promised: dict[MachineId, tuple[ShareNo, Instant]] = {}  # to be given when empty
+
+    def tick(self) -> None:
+        self._return_silent()
+        self._give_promised()
+        self._retry()
+
+    def asked(self, message: dict[str, Any]) -> None:
+        if message["t"] == "given":
+            self.fleet.given(message)
+            return
+        if message["t"] == "vacate":
+            self._vacate(message)
+            return
+        if message["t"] == "yield":
+            self._yield(message)
+            return
+        if message["t"] == "drain":
+            share = ShareNo(int(message["share"]))
+            if self.shares.may_command(share):
+                self.scheduler.moves.drain(share, int(message["n"]))
+            return
+        machine = self.fleet.machines.get(MachineId(str(message["machine"])))
+        if (machine is None or machine.busy or machine.moving or machine.record.leaving
+                or not self.shares.may_command(machine.share.number)):
+            return
+        if message["t"] == "retire":
+            self.change_record(machine, leaving=True)
+        elif message["t"] == "give":
+            share = ShareNo(int(message["share"]))
+            if share != machine.share.number and 0 <= share < len(self.cx.members):
+                self.change_record(machine, share=share)
+
+    def change_record(self, machine: Machine, **changes: Any) -> None:
+        """Give a machine away or mark it leaving; nothing new goes there from now on."""
+        machine.moving = True
+        record = machine.record
+        state = self.fleet.state_of(machine)
+
+        def attempt() -> None:
+            if self.fleet.machines.get(machine.id) is not machine:
+                return
+            self.store.commit(
+                [self.shares.guard(machine.share.number), (MACHINE + machine.id, record.stamp)],
+                [(MACHINE + machine.id, record.value(**changes), None)], done)
+
+        def done(result: str, stamp: Stamp) -> None:
+            if result == "ok":
+                machine.moving = False
+                if "share" in changes:
+                    self.ask_owner(changes["share"], {"t": "given", **state})
+            elif result == "conflict":
+                # Perhaps an earlier try was applied: look before anything new goes there.
+                self.store.sync(checked)
+            else:
+                # It may be applied yet. Only an answer tells whose the machine is.
+                self._again.append(attempt)
+
+        def checked(ok: bool) -> None:
+            if ok:
+                machine.moving = False
+            else:
+                self._again.append(attempt)
+
+        attempt()
+
+    def _retry(self) -> None:
+        if self._again and self.cx.now >= self._again_at:
+            self._again_at = Instant(self.cx.now + 0.3)
+            again, self._again = self._again, []
+            for attempt in again:
+                attempt()
+
+    def _give_promised(self) -> None:
+        for id, (to, until) in list(self._promised.items()):
+            machine = self.fleet.machines.get(id)
+            if machine is None or self.cx.now > until:
+                del self._promised[id]
+            elif (not machine.busy and not machine.moving and not machine.record.leaving
+                    and self.shares.may_command(machine.share.number)):
+                del self._promised[id]
+                self.change_record(machine, share=to)
+
+    def _yield(self, message: dict[str, Any]) -> None:
+        """Machines of that many CPUs, those promised before included, go as they fall empty."""
+        share, to = ShareNo(int(message["share"])), ShareNo(int(message["to"]))
+        need = Need(message["need"])
+        if (not self.shares.may_command(share) or to == share
+                or not 0 <= to < len(self.cx.members)):
+            return
+        half = left = float(message["cpus"])
+        for id, (other, _) in self._promised.items():
+            machine = self.fleet.machines.get(id)
+            if machine is not None and machine.type is not None and other == to:
+                left -= machine.type.cpus
+        for machine in self.scheduler.moves.soon_empty(
+                share, lambda m: serves(need, m.record.type, m.record.zone, m.record.spot)
+                and m.type is not None and need.size.fits(m.type.size)):
+            assert machine.type is not None
+            # A machine may be more than half of the difference, if it is no more than all of it.
+            if machine.type.cpus <= left or half == left >= machine.type.cpus / 2:
+                left -= machine.type.cpus
+                machine.draining_until = Instant(self.cx.now + YIELD_S)
+                self._promised[machine.id] = (to, machine.draining_until)
+
+    def _vacate(self, message: dict[str, Any]) -> None:
+        share, to = ShareNo(int(message["share"])), ShareNo(int(message["to"]))
+        need = Need(message["need"])
+        if (not self.shares.may_command(share) or to == share
+                or not 0 <= to < len(self.cx.members)
+                or any(job.spec.rank <= need.rank for job, _, _
+                       in self.scheduler.unmet.get(share, ()))):
+            return
+        machine = self.scheduler.moves.vacate(
+            share, need.rank, need.size,
+            lambda m: serves(need, m.record.type, m.record.zone, m.record.spot))
+        if machine is not None:
+            self.cx.log("info", f"machine {machine.id}: makes way for share {to}")
+            self._promised[machine.id] = (to, Instant(self.cx.now + VACATE_S))
+
+    def _return_silent(self) -> None:
+        """A machine that is silent well beyond its reports is returned: once the cloud has
+        answered, its tasks are nowhere and may start elsewhere before the lease is over."""
+        now = self.cx.now
+        limit = self.fleet.patience()
+        for holding in self.shares.mine.values():
+            if not self.shares.may_command(holding.number):
+                continue
+            machines = self.fleet.of_share(holding.number)
+            known = [m for m in machines if m.heard >= 0 or m.record.stamp <= holding.epoch]
+            silent = [m for m in known if now - max(m.heard, holding.since) > limit
+                      or self.fleet.unreached_s(m) > limit]
+            # If most are, it is rather this node that hears nothing or reaches none. Their
+            # leases end all the same, since they are not answered.
+            if len(silent) > max(1, len(known) // 2):
+                continue
+            for m in silent:
+                if not m.record.leaving and not m.moving:
+                    why = "silent" if now - m.heard > limit else "heard, but not reached"
+                    self.cx.log("warning", f"machine {m.id}: {why}, returned")
+                    self.change_record(m, leaving=True)
+
+    def ask_owner(self, share: ShareNo, message: dict[str, Any]) -> None:
+        owner = self.shares.living_owner(share)
+        if owner == self.cx.me:
+            self.asked(message)
+        elif owner is not None:
+            self.cx.out.append(Say(owner, message))
--- a/tests/test_cloud.py
+++ b/tests/test_cloud.py
@@ -24,22 +24,22 @@
     node = leader(world)
     lag = node.cx.platform.settings.cloud.list_lag_s
     began = node.cx.now
-    node.rental._first_listed.clear()
-    node.rental._listed(listed(world), began)
+    node.rental.inventory._first_listed.clear()
+    node.rental.inventory._listed(listed(world), began)
     node.cx.out.clear()
-    node.rental._listed(listed(world)[1:], Instant(began + 2 * lag))
+    node.rental.inventory._listed(listed(world)[1:], Instant(began + 2 * lag))
     assert not [e for e in node.cx.out if isinstance(e, t.Commit)], "it may only be an old list"
     gone = next(iter(world.workers))
 
     def dropped(at: float) -> list[str]:
-        node.rental._listed(listed(world)[1:], Instant(at))
+        node.rental.inventory._listed(listed(world)[1:], Instant(at))
         return [k for e in node.cx.out if isinstance(e, t.Commit) for k, v, _ in e.then
                 if v == {"gone": True}]
 
     # Lists may be older still than they should be: one alone proves nothing, and no list makes a
     # machine gone whose worker is heard.
     assert not dropped(began + 2 * lag + 1.5) and not dropped(began + 2 * lag + 1.6)
-    node.rental._missing[gone] = Instant(began - lag)  # type: ignore[index]
+    node.rental.inventory._missing[gone] = Instant(began - lag)  # type: ignore[index]
     assert not dropped(began + 2 * lag + 1.7)
     node.rental.loads.clear()
     assert dropped(began + 2 * lag + 1.8) == [f"rc/machine/{gone}"]
