--- a/runcourse/core/machine.py
+++ b/runcourse/core/machine.py
@@ -25,6 +25,7 @@
 
 Key = tuple[TaskId, Attempt]
 RUNNING = ("running", "saving")
+STOPPING = 1_000  # counted below every rank
 
 
 class Known(NamedTuple):
@@ -85,7 +86,7 @@
                  "doubt", "doubted_at", "draining_until", "empty_since", "errors",
                  "expired_session", "fetches", "full_until", "heard", "id", "images",
                  "last_answer", "lasting", "moving", "notice_until", "placements", "probing",
-                 "quarantined_until", "reached", "record", "report_number", "room", "seq",
+                 "quarantined_until", "ranks", "reached", "record", "report_number", "room", "seq",
                  "session", "settled", "share", "token_seen", "type", "up_since", "used")
 
     def __init__(self, id: MachineId, record: Record, holding: Holding, now: Instant) -> None:
@@ -114,6 +115,7 @@
         self.placements: dict[Key, Placement] = {}
         self.used = NOTHING
         self.room = NOTHING
+        self.ranks: dict[int, float] = {}  # CPUs of what is on it, by rank
         self.fetches: dict[str, float] | None = None  # images under way; None: to be counted
         self.images: OrderedDict[str, float] = OrderedDict()
         self.do_open = False
@@ -168,6 +170,15 @@
             self.doubted_at = now
         self.doubt = self.raise_fence()
 
+    def count_rank(self, placement: Placement, sign: int) -> None:
+        if placement.job is not None:
+            rank = STOPPING if placement.stopping else placement.job.spec.rank
+            self.ranks[rank] = self.ranks.get(rank, 0.0) + sign * placement.size.cpus
+
+    def below(self, rank: int) -> float:
+        """CPUs free, or held by what ranks lower than that or is being stopped."""
+        return self.room.cpus + sum(cpus for r, cpus in self.ranks.items() if r > rank)
+
     def holds(self, task: TaskId) -> bool:
         return any(t == task for t, _ in self.placements)
 
--- a/runcourse/core/machines.py
+++ b/runcourse/core/machines.py
@@ -200,6 +200,7 @@
 
     def _activate(self, placement: Placement) -> None:
         placement.machine.use(placement.machine.used.plus(placement.size))
+        placement.machine.count_rank(placement, 1)
         placement.machine.fetches = None
         self._of_job.setdefault(placement.task.job, {})[placement] = None
         if placement.stage in RUNNING:
@@ -211,6 +212,7 @@
 
     def _deactivate(self, placement: Placement, stage: str) -> None:
         placement.machine.use(placement.machine.used.minus(placement.size))
+        placement.machine.count_rank(placement, -1)
         placement.machine.fetches = None
         held = self._of_job[placement.task.job]
         del held[placement]
@@ -240,6 +242,7 @@
             self._deactivate(placement, stage)
         if not machine.placements:
             machine.use(NOTHING)  # no rounding left over
+            machine.ranks.clear()
             machine.lasting = 0.0
             machine.empty_since = self.cx.now
         if active:
@@ -250,7 +253,9 @@
             return
         placement.forced = placement.stopping  # a second order ends the saving
         if not placement.stopping:
+            placement.machine.count_rank(placement, -1)
             placement.stopping = True
+            placement.machine.count_rank(placement, 1)
             self.watcher.stopped(placement)
         placement.grace_s = grace_s
         if not placement.seen and not placement.fence:
--- a/runcourse/core/preemption.py
+++ b/runcourse/core/preemption.py
@@ -69,8 +69,11 @@
             return lost + (fetch_s(job, machine) if job.spec.service else 0.0), found
 
         candidates: list[tuple[float, str, Machine]] = []
+        # Most machines hold nothing that might make way: to go through their tasks costs more.
+        above = spec.rank - (guaranteed > 0)
+        enough = job.size.cpus - 1e-6
         pool = self.budget.sample([m for m in usable() if m.id not in claimed
-                             and permits(job, m)], 4 * missing)
+                                   and m.below(above) >= enough and permits(job, m)], 4 * missing)
         self.budget.weigh_tasks(pool)
         for machine in pool:
             found = cost(machine)
--- a/runcourse/core/status.py
+++ b/runcourse/core/status.py
@@ -23,7 +23,8 @@
     machines = [
         {"machine": m.id, "share": m.share.number, "type": m.record.type, "zone": m.record.zone,
          "spot": m.record.spot, "tasks": sum(1 for p in m.placements.values() if p.active),
-         "cpus": m.used.cpus, "usable": node.fleet.usable(m), "leaving": m.record.leaving,
+         "cpus": m.used.cpus, "usable": node.fleet.usable(m),
+         "set_aside": now < m.quarantined_until, "leaving": m.record.leaving,
          "heard_s": round(now - m.heard, 1) if m.heard > LONG_AGO else None}
         for m in node.fleet.machines.values()
     ]
