--- /dev/null
+++ b/runcourse/core/confirmations.py
@@ -0,0 +1,172 @@
+"""When a user may be told that a job is cancelled, and the evidence for it.
+
+Nobody is told before every node that can still command the job's machines is certain to know of
+the cancellation, or to have lost its authority, in time. One of three things proves it:
+
+- this node owns the job's share and may command: it knows;
+- the share's present owner says, over the peer link, that it knows;
+- a *knowing majority*: so many nodes know that any majority that could vouch for any owner has
+  one of them in it, and a vouch brings what its giver knows, or is refused.
+
+Knowing lasts: a cancellation is stored before anybody hears of it, and a process that starts
+anew reads everything before it owns, vouches or answers. So it does not matter how late a
+peer's word arrives, nor whether the process that gave it is still the same.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from .authority import Authority
+from .context import Context
+from .ids import ABSENT, LONG_AGO, Instant, JobId, Member, Stamp, Team, later
+from .jobs import Job, Jobs
+from .shares import Shares
+from .store import Store
+from .types import Say
+
+ANSWER_WITHIN_S = 0.4  # without evidence by then the user is told when to come back
+ASK_AGAIN_S = 0.1
+HEARD_S = 2.5  # a peer that said nothing for so long is not waited for
+MOST_REMEMBERED = 5000  # of jobs not confirmed yet: what peers said of them
+
+Waiter = Callable[[bool], None]
+
+
+class _Inquiry:
+    """A cancellation that users wait to be told of."""
+
+    __slots__ = ("asked", "until", "waiters")
+
+    def __init__(self, until: Instant) -> None:
+        self.until = until
+        self.asked = LONG_AGO
+        self.waiters: list[Waiter] = []
+
+
+class Confirmations:
+    def __init__(self, cx: Context, store: Store, authority: Authority, shares: Shares,
+                 jobs: Jobs) -> None:
+        self.cx = cx
+        self.store = store
+        self.authority = authority
+        self.shares = shares
+        self.jobs = jobs
+        self._confirmed: set[JobId] = set()
+        self._knowing: dict[JobId, set[Member]] = {}
+        self._inquiries: dict[JobId, _Inquiry] = {}
+        self._heard: dict[Member, Instant] = {}
+        self._applied: dict[Member, Stamp] = {}  # up to where peers have read, as they said
+        # The former version doesn't say what it knows, but its vouch does: by question asked.
+        self._vouch_asked: dict[int, JobId] = {}
+        self._number = cx.rng.getrandbits(48)
+
+    @property
+    def enough(self) -> int:
+        """So many nodes meet every majority that vouches for an owner who isn't among them."""
+        return len(self.cx.members) - self.cx.majority + 1
+
+    def confirm(self, job: Job, then: Waiter) -> None:
+        """Calls `then` with True once the cancellation may be told, with False if there is no
+        evidence to be had, or none in time."""
+        if self.certain(job):
+            then(True)
+            return
+        inquiry = self._inquiries.get(job.uid)
+        if inquiry is None:
+            if not self._hopeful(job):
+                then(False)
+                return
+            inquiry = self._inquiries[job.uid] = _Inquiry(later(self.cx.now, ANSWER_WITHIN_S))
+        inquiry.waiters.append(then)
+        self._ask(job, inquiry)
+
+    def certain(self, job: Job) -> bool:
+        uid = job.uid
+        if uid in self._confirmed:
+            return True
+        knowing = {m for m, applied in self._applied.items() if ABSENT < job.cancelled <= applied}
+        knowing |= self._knowing.get(uid, set())
+        owns = self.shares.may_command(self.shares.of_team(Team(job.spec.team)))
+        if not owns and 1 + len(knowing) < self.enough:
+            return False
+        self._confirmed.add(uid)
+        self._knowing.pop(uid, None)
+        return True
+
+    def _hopeful(self, job: Job) -> bool:
+        """Are there peers left whose word would do?"""
+        near = [m for m, at in self._heard.items() if self.cx.now - at < HEARD_S]
+        owner = self.shares.living_owner(self.shares.of_team(Team(job.spec.team)))
+        return owner in near or 1 + len(near) >= self.enough
+
+    def _ask(self, job: Job, inquiry: _Inquiry) -> None:
+        now = self.cx.now
+        if now < inquiry.asked + ASK_AGAIN_S:
+            return
+        inquiry.asked = now
+        self.cx.out.append(Say(None, {"t": "cancelled", "uid": job.uid, "ask": True}))
+        for member in self.cx.members:
+            if member == self.cx.me or member in self._applied or job.cancelled == ABSENT:
+                continue
+            self._number += 1
+            self._vouch_asked[self._number] = job.uid
+            self.cx.out.append(Say(member, {"t": "vouch?", "inc": self.authority.inc,
+                                            "n": self._number, "applied": job.cancelled - 1}))
+
+    # --- what peers say ------------------------------------------------------------------
+
+    def heard(self, member: Member, applied: int | None) -> None:
+        """A peer's greeting; the former version's does not say how far it has read."""
+        self._heard[member] = self.cx.now
+        if applied is None:
+            self._applied.pop(member, None)
+        else:
+            self._applied[member] = Stamp(applied)
+
+    def knowledge(self, uid: JobId) -> dict[str, object]:
+        """This node's word that it knows of the cancellation, and whether as its job's owner."""
+        job = self.jobs.get(uid)
+        owns = job is not None and self.shares.may_command(
+            self.shares.of_team(Team(job.spec.team)))
+        return {"t": "knows", "uid": uid, "owner": owns}
+
+    def told(self, member: Member, uid: JobId, owner: bool) -> None:
+        if uid in self._confirmed:
+            return
+        if owner:
+            self._confirmed.add(uid)
+            self._knowing.pop(uid, None)
+        else:
+            while len(self._knowing) >= MOST_REMEMBERED:
+                del self._knowing[next(iter(self._knowing))]
+            self._knowing.setdefault(uid, set()).add(member)
+        self._look(uid)
+
+    def vouched(self, member: Member, number: int, cancelled: list[JobId]) -> None:
+        """The former version lists with its vouch what it has read of cancellations."""
+        uid = self._vouch_asked.get(number)
+        if uid is not None and uid in cancelled:
+            self.told(member, uid, False)
+
+    def _look(self, uid: JobId) -> None:
+        inquiry, job = self._inquiries.get(uid), self.jobs.get(uid)
+        if inquiry is not None and job is not None and self.certain(job):
+            self._end(uid, inquiry, True)
+
+    def _end(self, uid: JobId, inquiry: _Inquiry, sure: bool) -> None:
+        del self._inquiries[uid]
+        for number in [n for n, asked in self._vouch_asked.items() if asked == uid]:
+            del self._vouch_asked[number]
+        for waiter in inquiry.waiters:
+            waiter(sure)
+
+    def tick(self) -> None:
+        for uid, inquiry in list(self._inquiries.items()):
+            job = self.jobs.get(uid)
+            if job is not None and self.certain(job):
+                self._end(uid, inquiry, True)
+            elif job is None or self.cx.now >= inquiry.until:
+                self._end(uid, inquiry, False)
+            else:
+                self._ask(job, inquiry)
--- a/runcourse/core/jobs.py
+++ b/runcourse/core/jobs.py
@@ -50,7 +50,7 @@
 class Job:
     """One accepted job: what the state service says of it."""
 
-    __slots__ = ("accepted", "done_bits", "done_count", "page_stamps", "size", "spec", "stage",
+    __slots__ = ("accepted", "cancelled", "done_bits", "done_count", "size", "spec", "stage",
                  "stamp", "submitted", "uid")
 
     def __init__(self, spec: JobSpec, stamp: Stamp) -> None:
@@ -60,6 +60,7 @@
         self.stage = "accepted"
         self.stamp = stamp
         self.accepted = stamp  # revision of its acceptance
+        self.cancelled = ABSENT  # revision of its cancellation, once that was read
         self.submitted = 0.0  # this node's steady clock, first sight
         self.done_bits = 0
         self.done_count = 0
@@ -90,6 +91,7 @@
         self._open: dict[JobId, Job] = {}
         self._early_pages: dict[JobId, int] = {}
         self._cancelled: list[tuple[Stamp, JobId]] = []
+        self._told: dict[JobId, None] = {}  # cancellations that peers know of, not read yet
 
     def get(self, uid: JobId) -> Job | None:
         return self._jobs.get(uid)
@@ -109,9 +111,12 @@
             self._jobs[uid] = job
         if value["stage"] == "cancelled":
             self._cancelled.append((stamp, uid))
+            self._told.pop(uid, None)
+            job.cancelled = stamp
         # A job that is done or cancelled stays so, whatever order news arrives in.
         if not job.final:
-            job.stage = str(value["stage"])
+            # What a peer read before this node read the job at all is not forgotten.
+            job.stage = "cancelled" if uid in self._told else str(value["stage"])
             if job.final:
                 self._open.pop(uid, None)
             else:
@@ -122,12 +127,14 @@
 
     def cancelled_since(self, stamp: Stamp) -> list[JobId]:
         """Whose cancellation was stored after that revision, as far as is known here."""
-        return [uid for at, uid in self._cancelled if at > stamp]
+        return [uid for at, uid in self._cancelled if at > stamp] + list(self._told)
 
     def cancel(self, uid: JobId) -> Job | None:
         """A peer knows of a stored cancellation that no read has brought yet. The job's
         version stays, so that a change based on it fails. None: nothing new."""
         job = self._jobs.get(uid)
+        if job is None or not job.final:
+            self._told[uid] = None
         if job is None or job.final:
             return None
         job.stage = "cancelled"
--- a/runcourse/core/node.py
+++ b/runcourse/core/node.py
@@ -12,6 +12,7 @@
 
 from ..config import Operators, Platform
 from .authority import Authority
+from .confirmations import Confirmations
 from .context import Context
 from .ids import LONG_AGO, Instant, JobId, MachineId, Member, ShareNo, Stamp, Token
 from .jobs import Jobs
@@ -60,8 +61,9 @@
         self.shares.all_heard = self.fleet.all_heard
         self.rental = Rental(cx, self.store, self.authority, self.shares, self.fleet,
                              self.scheduler)
-        self.users = Users(cx, self.store, self.authority, self.shares, self.jobs, self.quota,
-                           self.fleet)
+        self.confirmations = Confirmations(cx, self.store, self.authority, self.shares, self.jobs)
+        self.users = Users(cx, self.store, self.shares, self.jobs, self.quota, self.fleet,
+                           self.confirmations)
         self.store.listen(JOB, self._job_changed)
         self.store.listen(DONE, self._page_changed)
         self.store.listen(LEADER, lambda key, value, stamp: None)
@@ -121,12 +123,13 @@
         self.fleet.tick()
         self.scheduler.tick()
         self.rental.tick()
+        self.confirmations.tick()
         now = self.cx.now
         if now >= self._gossip_at + GOSSIP_EVERY_S:
             self._gossip_at = now
             self.cx.out.append(Say(None, {
                 "t": "hello", "contact": self._contact(), "running": self.fleet.running_counts(),
-                "silent": self.fleet.silent()}))
+                "silent": self.fleet.silent(), "applied": self.store.applied}))
             for seen in (self._redirected, self._relaying):
                 for id in [id for id in seen if id not in self.fleet.records]:
                     del seen[id]
@@ -283,17 +286,25 @@
                 self._peer_contact[member] = (self.cx.now, bool(message["contact"]))
                 self._peer_running[member] = dict(message["running"])
                 self._silent[member] = set(message["silent"])
+                self.confirmations.heard(member, message.get("applied"))
                 self.users.running = {
                     JobId(uid): n for counts in self._peer_running.values()
                     for uid, n in counts.items()}
             case "sync":
                 self.store.sync()
             case "cancelled":
+                uid = JobId(str(message["uid"]))
                 self.store.sync()
-                self._told_cancelled([JobId(str(message["uid"]))])
+                self._told_cancelled([uid])
+                if message.get("ask"):
+                    self.cx.out.append(Say(member, self.confirmations.knowledge(uid)))
+            case "knows":
+                self.confirmations.told(member, JobId(str(message["uid"])),
+                                        bool(message["owner"]))
             case "vouch?":
                 self.authority.asked(member, message)
             case "vouch":
+                self.confirmations.vouched(member, int(message["n"]), message["cancelled"])
                 self.authority.answered(member, message)
             case "load":
                 self.rental.told_load(message)
--- a/runcourse/core/shares.py
+++ b/runcourse/core/shares.py
@@ -121,7 +121,10 @@
 
     def may_command(self, share: ShareNo) -> bool:
         holding = self.mine.get(share)
-        return holding is not None and not holding.giving and self.authority.entitled()
+        # Its transaction succeeded before this node had read everything up to it: what was
+        # cancelled until then must be known before anything is answered or commanded.
+        return (holding is not None and not holding.giving
+                and self.store.applied >= holding.epoch and self.authority.entitled())
 
     # --- gaining and losing --------------------------------------------------------------
 
@@ -146,6 +149,8 @@
             taken = f", taken over from {former}, whose lease ended" if former else ""
             self.cx.log("info", f"share {share} owned, epoch {stamp}{taken}")
             self._on_gain(holding)
+            if self.store.applied < stamp:
+                self.store.sync()
 
     def drop_all(self) -> None:
         for share in list(self.mine):
--- a/runcourse/core/users.py
+++ b/runcourse/core/users.py
@@ -11,7 +11,7 @@
 from typing import Any
 
 from ..wire.messages import job_state
-from .authority import Authority
+from .confirmations import Confirmations
 from .context import Context
 from .ids import ABSENT, JobId, ShareNo, Stamp, Team, later
 from .jobs import UID, Job, Jobs, JobSpec, job_value
@@ -27,11 +27,11 @@
 
 
 class Users:
-    def __init__(self, cx: Context, store: Store, authority: Authority, shares: Shares,
-                 jobs: Jobs, quota: Quota, fleet: Fleet) -> None:
+    def __init__(self, cx: Context, store: Store, shares: Shares, jobs: Jobs, quota: Quota,
+                 fleet: Fleet, confirmations: Confirmations) -> None:
         self.cx = cx
         self.store = store
-        self.authority = authority
+        self.confirmations = confirmations
         self.shares = shares
         self.jobs = jobs
         self.quota = quota
@@ -89,21 +89,38 @@
             if job is None:
                 self._by_read(ask.request, 404, {"error": "no such job"})
             else:
-                self._by_read(ask.request, 200, self._state(job))
+                self._tell(ask.request, job)
 
         self._after_sync(ask.request, then)
 
+    def _tell(self, request: int, job: Job) -> None:
+        if not self._answer_final(request, job.uid):
+            self._by_read(request, 200, self._state(job))
+
     def _by_read(self, request: int, status: int, body: dict[str, Any]) -> None:
         """An answer that rests on the newest read: after a pause of this process another node
         may have given a newer one, so then it must not leave."""
         self.cx.out.append(Answer(request, status, body, until=self.store.fresh_until))
 
     def _answer_final(self, request: int, uid: JobId) -> bool:
+        """A final stage stands, whoever asks and whenever; that a job is cancelled is told on
+        every path (cancellation, poll, repeated submission) only once that is safe."""
         job = self.jobs.get(uid)
-        if job is not None and job.final:
-            self.cx.out.append(Answer(request, 200, self._state(job)))
-            return True
-        return False
+        if job is None or not job.final:
+            return False
+        state = self._state(job)
+
+        def then(sure: bool) -> None:
+            if sure:
+                self.cx.out.append(Answer(request, 200, state))
+            else:
+                self.refuse(request, 503, 1.0, "the cancellation is stored, not confirmed yet")
+
+        if job.stage == "cancelled":
+            self.confirmations.confirm(job, then)
+        else:
+            then(True)
+        return True
 
     # --- submissions ---------------------------------------------------------------------
 
@@ -132,7 +149,7 @@
         if job is None:
             self.refuse(request)
         else:
-            self._by_read(request, 200, self._state(job))
+            self._tell(request, job)
 
     def _verdict(self, request: int, uid: JobId, status: int, why: str) -> None:
         def then() -> None:
@@ -218,6 +235,9 @@
                 # them: they pass it on with their vouch.
                 self.cx.out.append(Say(None, {"t": "cancelled", "uid": uid}))
                 self._answer_final(request, uid)
+            elif outcome == "unknown":
+                # It may stand, and others may read it: they too tell it only when it is safe.
+                self.refuse(request, 503, 1.0, "not known to be stored")
             elif outcome == "conflict" and tries > 1:
                 self._after_sync(request, lambda: self._cancel(request, uid, tries - 1))
             else:
