--- a/runcourse/core/balance.py
+++ b/runcourse/core/balance.py
@@ -32,9 +32,11 @@
         """Empty machines go towards shares with waiting tasks."""
         for share, needs in unmet.items():
             for need in needs:
-                for other in self.shares.all():
-                    if other == share or any(n.count > 0 for n in unmet.get(other, ())):
-                        continue
+                others = [s for s in self.shares.all()
+                          if s != share and not any(n.count > 0 for n in unmet.get(s, ()))]
+                if need.block and need.count > 0 and not self._one_zone(need, others, idle):
+                    continue
+                for other in others:
                     for entry in list(idle[other]):
                         seconds, id, record = entry
                         type_ = self.fleet.types[record.type]
@@ -47,6 +49,21 @@
                             self.yielding.ask_owner(other, {"t": "give", "machine": id,
                                                             "share": share})
 
+    def _one_zone(self, need: Need, others: list[ShareNo],
+                  idle: dict[ShareNo, list[tuple[float, MachineId, Record]]]) -> bool:
+        """Is there a zone with empty machines for all of it? Then only those are moved."""
+        room: dict[str, int] = {}
+        for other in others:
+            for seconds, _, record in idle[other]:
+                if seconds >= 1.0 and serves(need, record.type, record.zone, record.spot):
+                    n = fits_times(need.size, self.fleet.types[record.type].size)
+                    room[record.zone] = room.get(record.zone, 0) + n
+        zone = max(sorted(room), key=lambda z: room[z], default=None)
+        if zone is None or room[zone] < need.count:
+            return False
+        need.zone = zone
+        return True
+
     def vacate_for(self, unmet: dict[ShareNo, list[Need]]) -> None:
         """Lesser work elsewhere makes way for what cheap machines can't take: within a share
         the scheduler stops it, but what is busy in another share never falls empty by itself
@@ -56,7 +73,8 @@
             return
         waiting = sorted(((need.rank, -need.age, share, need) for share, needs in unmet.items()
                           for need in needs if need.asked > 0 and not need.spot
-                          and need.age >= VACATE_AFTER_S), key=lambda w: w[:3])
+                          and need.age >= VACATE_AFTER_S and self._one_machine(need)),
+                         key=lambda w: w[:3])
         for _, _, share, need in waiting:
             others = sorted({r.share for r in self.fleet.records.values()
                              if r.share != share and not r.leaving
@@ -68,6 +86,11 @@
                                         "need": need.raw})
                 return
 
+    def _one_machine(self, need: Need) -> bool:
+        """Would one machine, emptied, be of use?"""
+        return not need.block or any(fits_times(need.size, t.size) >= need.asked
+                                     for t in self.fleet.types.values())
+
     def balance(self, cpus: dict[ShareNo, float]) -> None:
         """Shares are sized by what waits and runs. While all of them are short no machine falls
         empty by itself, so the share that has most for what it asks yields some to the one that
--- /dev/null
+++ b/runcourse/core/gang_room.py
@@ -0,0 +1,177 @@
+"""Where the whole of a gang goes: all of its tasks or none, by the same score as any task.
+
+Extension of the paper's placement from single tasks to sets: the tasks are placed one after the
+other on a scratch copy of the allocations, each where it scores best given those before it, and
+only a set that is complete, in one zone if the job says so, is carried out.
+"""
+
+from __future__ import annotations
+
+import heapq
+from collections.abc import Callable, Iterable
+from typing import NamedTuple
+
+from .budget import Budget
+from .context import Context
+from .gangs import Gangs
+from .ids import Instant, MachineId, TaskId, later
+from .jobs import Job
+from .machine import Machine
+from .machines import MOST_LISTED, Fleet
+from .placement import NOTHING, Size, fits_times
+from .preemption import Preemption
+from .quota import Quota
+from .shares import Shares
+from .work import Usable, Work, fetch_s, permits, zone_open
+
+Score = Callable[[Job, Machine, Size], float]
+
+NO_ROOM = "no room for the whole gang"
+RESERVE_AFTER_S = 15.0  # what falls free in one place is kept for a gang that waits longer
+FREE_SOON_S = 60.0  # what will run longer is not counted on
+
+
+class Plan(NamedTuple):
+    slowest: float  # seconds until the last image is there
+    score: float
+    places: list[tuple[int, Machine]]  # task numbers and where they go
+
+
+class GangRoom:
+    def __init__(self, cx: Context, shares: Shares, fleet: Fleet, quota: Quota, gangs: Gangs,
+                 preemption: Preemption, budget: Budget, score: Score) -> None:
+        self.cx = cx
+        self.shares = shares
+        self.fleet = fleet
+        self.quota = quota
+        self.gangs = gangs
+        self.preemption = preemption
+        self.budget = budget
+        self.score = score
+
+    def serve(self, work: Work, usable: Usable, machines: Iterable[Machine],
+              claimed: set[MachineId], unlocated: Size, last: bool) -> int:
+        """Start all that is pending of the gang, or nothing; returns how many tasks need room.
+        Only the `last` try may stop others."""
+        job, n = work.job, len(work.pending)
+        work.waits = self.gangs.look(work)
+        if work.waits or not n:
+            return 0
+        if not self.quota.allows(job, unlocated.plus(self.gangs.size(work))):
+            work.waits = "team limit"
+            return 0
+        fits = [m for m in machines if job.size.fits(m.room) and m.id not in claimed
+                and permits(job, m) and zone_open(work, m.record.zone)]
+        plan = self._plan(work, fits)
+        if plan is None:
+            work.waits = NO_ROOM
+            if last:
+                self.preemption.make_room_whole(work, usable, claimed)
+            return n
+        holding = self.shares.mine[work.share]
+        attempt = work.attempt if any(work.zones.values()) else None
+        attempt = holding.next_attempt() if attempt is None else attempt
+        for number, machine in plan.places:
+            self.fleet.place(job, number, machine, attempt)
+        self.cx.log("debug", f"gang {job.uid} placed on"
+                             f" {len({m.id for _, m in plan.places})} machines,"
+                             f" {self.cx.now - job.submitted:.2f} s after its job,"
+                             f" images there in {plan.slowest:.1f} s")
+        return 0
+
+    def _plan(self, work: Work, fits: list[Machine]) -> Plan | None:
+        if not work.job.spec.together:
+            return self._fill(work, fits)
+        zones: dict[str, list[Machine]] = {}
+        for machine in fits:
+            zones.setdefault(machine.record.zone, []).append(machine)
+        plans = [plan for zone in sorted(zones)
+                 if (plan := self._fill(work, zones[zone])) is not None]
+        return min(plans, key=lambda p: (p.slowest, -p.score), default=None)
+
+    def _fill(self, work: Work, machines: list[Machine]) -> Plan | None:
+        job, n = work.job, len(work.pending)
+        room = {m.id: min(fits_times(job.size, m.room), MOST_LISTED - len(m.placements))
+                for m in machines}
+        if sum(room.values()) < n:
+            return None
+        pool = self.budget.sample(machines, 4 * n)
+        used = {m.id: m.used for m in pool}
+        left = {zone: self.gangs.most_in_zone(work, zone) for zone in {m.record.zone for m in pool}}
+        heap = [(-self.score(job, m, m.used), k, m) for k, m in enumerate(pool)]
+        heapq.heapify(heap)
+        pending = list(reversed(work.pending))
+        places: list[tuple[int, Machine]] = []
+        total = slowest = 0.0
+        while pending and heap:
+            score, k, machine = heap[0]
+            number = self._number_for(work, machine, pending)
+            if left[machine.record.zone] <= 0 or room[machine.id] <= 0 or number is None:
+                heapq.heappop(heap)
+                continue
+            pending.remove(number)
+            places.append((number, machine))
+            total -= score
+            slowest = max(slowest, fetch_s(job, machine))
+            left[machine.record.zone] -= 1
+            room[machine.id] -= 1
+            used[machine.id] = used[machine.id].plus(job.size)
+            heapq.heapreplace(heap, (-self.score(job, machine, used[machine.id]), k, machine))
+        return Plan(slowest, total, places) if not pending else None
+
+    @staticmethod
+    def _number_for(work: Work, machine: Machine, pending: list[int]) -> int | None:
+        """A task of which the machine does not list a former start: that would be refused, or
+        not be carried out at all."""
+        for number in pending:
+            if not (number in work.tried and machine.holds(TaskId(work.job.uid, number))):
+                return number
+        return None
+
+    # --- gangs that wait long ------------------------------------------------------------
+
+    def reserve(self, waiting: list[Work], usable: Usable) -> tuple[Work, set[MachineId]] | None:
+        """Single tasks would take whatever falls free before it is enough for a gang. So for the
+        one that has waited longest, where least is missing, nothing else is started for a while;
+        no more machines than it needs, and none whose work will take long."""
+        now = self.cx.now
+        aged = [w for w in waiting if w.job.spec.gang and not w.mistaken and w.attempt is None
+                and now > later(Instant(w.job.submitted), RESERVE_AFTER_S)]
+        for work in sorted(aged, key=lambda w: (w.job.submitted, w.job.uid)):
+            job, n = work.job, len(work.pending)
+            if not self.quota.allows(job, self.gangs.size(work)):
+                continue
+            zones: dict[str, list[tuple[int, int, Machine]]] = {}
+            for machine in usable():
+                soon = fits_times(job.size, self._soon(machine))
+                if soon and permits(job, machine):
+                    zone = machine.record.zone if job.spec.together else ""
+                    free = fits_times(job.size, machine.room)
+                    zones.setdefault(zone, []).append((free, soon, machine))
+            best: tuple[int, set[MachineId]] | None = None
+            for zone in sorted(zones):
+                lacks, ids, there = 0, set(), 0
+                for free, soon, machine in sorted(zones[zone],
+                                                  key=lambda z: (z[0] - z[1], -z[1], z[2].id)):
+                    if there >= n:
+                        break
+                    there += soon
+                    lacks += soon - free
+                    ids.add(machine.id)
+                if there >= n and (best is None or lacks < best[0]):
+                    best = (lacks, ids)
+            if best is not None:
+                return work, best[1]
+        return None
+
+    def _soon(self, machine: Machine) -> Size:
+        """Its room once what ends soon has ended."""
+        now, room = self.cx.now, machine.room
+        for placement in machine.placements.values():
+            job = placement.job
+            if not placement.active or job is None or job.spec.service:
+                continue
+            ran = now - placement.ran_since if placement.ran_since else 0.0
+            if placement.stopping or job.spec.estimate_s - ran < FREE_SOON_S:
+                room = room.plus(placement.size)
+        return room if machine.type else NOTHING
--- a/runcourse/core/machine.py
+++ b/runcourse/core/machine.py
@@ -54,7 +54,7 @@
 class Placement:
     __slots__ = ("attempt", "cause", "commanded", "do_token", "fence", "forced", "given",
                  "grace_s", "job", "machine", "ran_since", "seen", "since", "size", "stage",
-                 "stopping", "task")
+                 "stage_before", "stopping", "task")
 
     def __init__(self, task: TaskId, attempt: Attempt, machine: Machine, job: Job | None,
                  now: Instant) -> None:
@@ -63,7 +63,8 @@
         self.machine = machine
         self.job = job
         self.size = job.size if job else NOTHING
-        self.stage = "sent"  # sent, fetching, running, saving, ended
+        self.stage = "sent"  # sent, fetching, waiting (for its gang), running, saving, ended
+        self.stage_before = ""  # once ended: the one before
         self.cause = ""
         self.seen = False  # some message listed it
         self.commanded = False  # a command with the order to start it may have left
--- a/runcourse/core/machines.py
+++ b/runcourse/core/machines.py
@@ -241,7 +241,7 @@
         machine.placements.pop((placement.task, placement.attempt), None)
         active, stage = placement.active, placement.stage
         if active:
-            placement.stage = "ended"
+            placement.stage, placement.stage_before = "ended", stage
             self._deactivate(placement, stage)
         if not machine.placements:
             machine.use(NOTHING)  # no rounding left over
@@ -463,17 +463,19 @@
         if entry.stage == "ended":
             placement.cause = entry.cause
             if before != "ended":
+                placement.stage_before = before
                 self._deactivate(placement, before)
                 self.watcher.gone(placement, entry.cause)
         elif before == "ended":
             self._activate(placement)
         elif (before in RUNNING) != (entry.stage in RUNNING):
             self._count_running(entry.task.job, 1 if entry.stage in RUNNING else -1)
-        if job is not None and (entry.stage == "running" or entry.cause == "done"):
-            if before != "running":
-                placement.ran_since = self.cx.now
+        if job is not None and (entry.stage in ("waiting", "running") or entry.cause == "done"):
             self._remember_image(machine, job)
-            self.watcher.running(placement)
+            if entry.stage != "waiting":
+                if before != "running":
+                    placement.ran_since = self.cx.now
+                self.watcher.running(placement)
 
     def _remember_image(self, machine: Machine, job: Job) -> None:
         images = machine.images
--- a/runcourse/core/moves.py
+++ b/runcourse/core/moves.py
@@ -5,24 +5,26 @@
 from collections.abc import Callable, Mapping
 
 from .context import Context
+from .gangs import Gangs
 from .ids import Instant, JobId, ShareNo
 from .machine import Machine, Placement
 from .machines import Fleet
 from .placement import Size
 from .shares import Shares
-from .work import Work, grace, loss, permits, zone_open
+from .work import Work, grace, permits, zone_open
 
 DRAIN_S = 45.0  # a machine that is not empty by then takes tasks again
 SETTLED_S = 35.0  # a replica that started lately is not moved
 
 
 class Moves:
-    def __init__(self, cx: Context, shares: Shares, fleet: Fleet, work: Mapping[JobId, Work]
-                 ) -> None:
+    def __init__(self, cx: Context, shares: Shares, fleet: Fleet, work: Mapping[JobId, Work],
+                 gangs: Gangs) -> None:
         self.cx = cx
         self.shares = shares
         self.fleet = fleet
         self.work = work
+        self.gangs = gangs
         self._draining: list[Machine] = []
 
     def _moves_to(self, placement: Placement, target: Machine) -> bool:
@@ -55,7 +57,7 @@
                     or not size.fits(machine.type.size)
                     or any(p.job is None or p.job.spec.rank <= rank for p in active)):
                 continue
-            lost = sum(loss(p, now) for p in active)
+            lost = sum(self.gangs.lost(p) for p in active)
             if best is None or (lost, machine.id) < best[:2]:
                 best = (lost, machine.id, machine)
         if best is None:
@@ -63,7 +65,7 @@
         machine = best[2]
         machine.draining_until = Instant(now + DRAIN_S)
         for placement in list(machine.placements.values()):
-            self.fleet.stop(placement, grace(placement))
+            self.gangs.stop(placement)
         return machine
 
     def soon_empty(self, share: ShareNo, serves: Callable[[Machine], bool]) -> list[Machine]:
@@ -117,6 +119,9 @@
             job = placement.job
             if job is None or not placement.active or placement.stopping:
                 continue
+            if job.spec.gang:
+                self._leave_whole(placement, left)
+                continue
             if not job.spec.service and placement.stage == "running":
                 remaining = job.spec.estimate_s - (now - placement.ran_since)
                 if remaining < left:
@@ -131,6 +136,19 @@
                 rooms[target.id] = rooms[target.id].minus(placement.size)
             self.fleet.stop(placement, grace(placement))
 
+    def _leave_whole(self, placement: Placement, left: float) -> None:
+        """A gang of which one task is on a machine under notice stops as late as it can still save,
+        or at once if it only waits."""
+        assert placement.job is not None
+        spec = placement.job.spec
+        if placement.stage == "running":
+            if spec.estimate_s - (self.cx.now - placement.ran_since) < left:
+                return
+            needs = spec.save_s + self.cx.platform.settings.workers.gang_peer_s + 1.0
+            if spec.checkpoint_s > 0 and left > needs:
+                return
+        self.gangs.stop(placement)
+
     def tick(self) -> None:
         for machine in self.fleet.machines.values():
             if machine.notice_until is not None and self.shares.may_command(machine.share.number):
--- a/runcourse/core/needs.py
+++ b/runcourse/core/needs.py
@@ -15,10 +15,10 @@
 
 
 class Need:
-    """Waiting tasks of one shape in one share."""
+    """Waiting tasks of one shape in one share, or those of one gang."""
 
-    __slots__ = ("age", "asked", "count", "hire", "rank", "raw", "shut", "size", "spot", "types",
-                 "zone")
+    __slots__ = ("age", "asked", "block", "count", "hire", "rank", "raw", "shut", "size", "spot",
+                 "types", "zone")
 
     def __init__(self, raw: dict[str, Any]) -> None:
         self.raw = raw
@@ -31,6 +31,9 @@
         self.spot = bool(raw["spot"])
         self.types: list[str] | None = raw["types"]
         self.zone: str | None = raw["zone"]
+        # All in one zone or none: fewer machines than that are of no use. The former version's
+        # owners have no such needs.
+        self.block = bool(raw.get("block", False))
         self.shut: list[str] = raw["shut"]  # zones that `spread` closes
 
 
@@ -74,7 +77,9 @@
     ages: dict[tuple[Any, ...], float] = {}
     for job, count, shut in scheduler.unmet.get(share, ()):
         spec = job.spec
-        key = (tuple(job.size), spec.rank, spec.spot, spec.types, spec.zone, shut)
+        # A gang in one zone is a need of its own; its first task decides the zone, if placed.
+        block = job.uid if spec.gang and spec.together else ""
+        key = (tuple(job.size), spec.rank, spec.spot, spec.types, spec.zone, shut, block)
         needs[key] = needs.get(key, 0) + count
         hires[key] = hires.get(key, 0) + scheduler.needed(job, count)
         ages[key] = max(ages.get(key, 0.0), now - job.submitted)
@@ -89,6 +94,6 @@
         "t": "load", "share": share, "used": used, "machines": machines,
         "needs": [{"size": list(k[0]), "rank": k[1], "spot": k[2],
                    "types": list(k[3]) if k[3] is not None else None, "zone": k[4],
-                   "shut": list(k[5]),
+                   "shut": list(k[5]), "block": bool(k[6]),
                    "n": n, "hire": hires[k], "age": ages[k]} for k, n in needs.items()],
     }
--- a/runcourse/core/preemption.py
+++ b/runcourse/core/preemption.py
@@ -9,6 +9,7 @@
 
 from .budget import Budget
 from .context import Context
+from .gangs import Gangs
 from .ids import JobId, MachineId, Team
 from .jobs import Job
 from .machine import Machine, Placement
@@ -16,20 +17,21 @@
 from .order import Order
 from .placement import NOTHING, Size
 from .quota import Quota
-from .work import Usable, Work, fetch_s, grace, loss, permits, zone_open
+from .work import Usable, Work, fetch_s, permits, zone_open
 
 YOUNG_S = 3.0  # what was placed since is not stopped for a guarantee
 
 
 class Preemption:
     def __init__(self, cx: Context, fleet: Fleet, quota: Quota, order: Order, budget: Budget,
-                 work: Mapping[JobId, Work]) -> None:
+                 work: Mapping[JobId, Work], gangs: Gangs) -> None:
         self.cx = cx
         self.fleet = fleet
         self.quota = quota
         self.order = order
         self.budget = budget
         self.work = work
+        self.gangs = gangs
         # Sizes for which, in this turn, nothing could be stopped to make room; by who asks.
         self._hopeless: dict[tuple[Any, ...], list[Size]] = {}
 
@@ -65,7 +67,7 @@
             found = self.victims(job, machine, guaranteed > 0, stopping)
             if found is None:
                 return None
-            lost = sum(loss(v, self.cx.now) for v in found)
+            lost = sum(self.gangs.lost(v) for v in found)
             return lost + (fetch_s(job, machine) if job.spec.service else 0.0), found
 
         candidates: list[tuple[float, str, Machine]] = []
@@ -95,14 +97,61 @@
             guaranteed -= 1
             made[machine.record.zone] = made.get(machine.record.zone, 0) + 1
             claimed.add(machine.id)
-            for victim in found[1]:
-                self.cx.log("info", f"{victim.task} stopped for {job.uid}")
-                self.fleet.stop(victim, grace(victim))
+            self._stop(found[1], job)
         return sum(made.values())
 
+    def _stop(self, victims: list[Placement], job: Job) -> None:
+        for victim in victims:
+            self.cx.log("info", f"{victim.task} stopped for {job.uid}")
+            self.gangs.stop(victim)
+
+    def make_room_whole(self, work: Work, usable: Usable, claimed: set[MachineId]) -> None:
+        """The same for a gang: room for all its tasks is made, in one zone if it says so, or for
+        none. Only one that lies within its team's guarantee as a whole is served by it."""
+        job, n = work.job, len(work.pending)
+        guaranteed = self.quota.guaranteed_count(job) >= n
+        if not self.quota.could_stop(job, guaranteed):
+            return
+        asks = (job.uid, n)
+        if asks in self._hopeless:
+            return
+        pool = [m for m in usable() if m.id not in claimed and permits(job, m)
+                and zone_open(work, m.record.zone)
+                and m.below(job.spec.rank - guaranteed) >= job.size.cpus - 1e-6]
+        self.budget.weigh_tasks(pool)
+        zones: dict[str, list[tuple[float, str, Machine, int]]] = {}
+        for machine in pool:
+            count = n
+            while count and (found := self.victims(job, machine, guaranteed, self.quota.stopping,
+                                                   count)) is None:
+                count //= 2
+            if count:
+                lost = sum(self.gangs.lost(v) for v in found or ()) + fetch_s(job, machine)
+                zone = machine.record.zone if job.spec.together else ""
+                zones.setdefault(zone, []).append((lost / count, machine.id, machine, count))
+        best: tuple[float, list[tuple[Machine, int]]] | None = None
+        for options in zones.values():
+            lost, left, chosen = 0.0, n, []
+            for each, _, machine, count in sorted(options, key=lambda o: o[:2]):
+                if left <= 0:
+                    break
+                chosen.append((machine, min(count, left)))
+                lost += each * min(count, left)
+                left -= count
+            if left <= 0 and (best is None or lost < best[0]):
+                best = (lost, chosen)
+        if best is None:
+            self._hopeless[asks] = []
+            return
+        for machine, count in best[1]:
+            claimed.add(machine.id)
+            self._stop(self.victims(job, machine, guaranteed, self.quota.stopping, count) or [],
+                       job)
+
     def victims(self, job: Job, machine: Machine, guaranteed: bool,
-                 stopping: dict[Team, Size]) -> list[Placement] | None:
-        """What to stop on the machine so that one task of the job fits; None: it can't."""
+                 stopping: dict[Team, Size], count: int = 1) -> list[Placement] | None:
+        """What to stop on the machine so that so many tasks of the job fit; None: it can't."""
+        size = Size(*(count * amount for amount in job.size))
         room = machine.room
         active = [p for p in machine.placements.values() if p.active]
         for placement in active:
@@ -111,8 +160,8 @@
         victims: list[Placement] = []
         more = dict(stopping)
         for placement in sorted((p for p in active if not p.stopping),
-                                key=lambda p: loss(p, self.cx.now)):
-            if job.size.fits(room):
+                                key=self.gangs.lost):
+            if size.fits(room):
                 break
             if placement.job is None:
                 continue
@@ -130,4 +179,4 @@
                 more[team] = more.get(team, NOTHING).plus(placement.size)
                 victims.append(placement)
                 room = room.plus(placement.size)
-        return victims if job.size.fits(room) else None
+        return victims if size.fits(room) else None
--- a/runcourse/core/rental.py
+++ b/runcourse/core/rental.py
@@ -265,6 +265,9 @@
         left = dict(booting)
         for need in needs:
             need.count = need.hire
+            if need.block:
+                self._leave_block(need, left)
+                continue
             for place, machines in left.items():
                 if machines <= 0 or not serves(need, *place):
                     continue
@@ -275,6 +278,28 @@
                     left[place] = machines - n / each
         return needs
 
+    def _leave_block(self, need: Need, left: dict[Place, float]) -> None:
+        """A gang's need is met in one zone: what comes up elsewhere does not count. What comes up
+        there in part does, if the rest can still be hired there."""
+        coming: dict[str, float] = {}
+        for place, machines in left.items():
+            if machines > 0 and serves(need, *place):
+                each = fits_times(need.size, self.fleet.types[place[0]].size)
+                coming[place[1]] = coming.get(place[1], 0.0) + math.floor(machines * each + 1e-6)
+        if not coming:
+            return
+        zone = max(sorted(coming), key=lambda z: coming[z])
+        if coming[zone] < need.count:
+            if not any(option[2] == zone for option in self._options(need)):
+                return
+            need.zone = zone
+        for place, machines in left.items():
+            each = fits_times(need.size, self.fleet.types[place[0]].size)
+            if place[1] == zone and each and need.count > 0 and serves(need, *place):
+                n = min(need.count, math.floor(machines * each + 1e-6))
+                need.count -= n
+                left[place] = machines - n / each
+
     # --- hiring --------------------------------------------------------------------------
 
     def _note_refusal(self, type_: str, zone: str, spot: bool, least: float = 4.0) -> None:
@@ -313,6 +338,8 @@
                     continue
                 _, type_, _, spot = min(options, key=lambda o: (o[0], o[1].name, o[3]))
                 zones = tuple(sorted(z for _, t, z, s in options if t is type_ and s == spot))
+                if need.block:
+                    zones = (self._zone_for(share, type_, spot, zones),)
                 key = (share, type_.name, spot, zones)
                 each = fits_times(need.size, type_.size)
                 wanted[key] = wanted.get(key, 0.0) + need.count / each
@@ -336,6 +363,15 @@
                     return
                 self._hire(place, shares[n:n + MAX_HIRE])
 
+    def _zone_for(self, share: ShareNo, type_: MachineType, spot: bool,
+                  zones: tuple[str, ...]) -> str:
+        """Where a whole gang's machines are hired: where the share has fewest, as for others."""
+        counts = dict.fromkeys(zones, 0)
+        for record in self.fleet.records.values():
+            if record.share == share and record.spot == spot and record.zone in counts:
+                counts[record.zone] += 1
+        return min(zones, key=lambda z: (counts[z], z))
+
     def _hire(self, place: Place, shares: list[ShareNo]) -> None:
         self._hires += 1
         # The leader's epoch makes the name unique among all leaders there ever were.
--- a/runcourse/core/scheduler.py
+++ b/runcourse/core/scheduler.py
@@ -12,6 +12,8 @@
 from .context import DRIFT, Context
 from .failures import FAILS, Failures
 from .finishes import Finishes
+from .gang_room import GangRoom
+from .gangs import Gangs
 from .ids import ALWAYS, LONG_AGO, Instant, JobId, MachineId, ShareNo, TaskId, Team, later
 from .jobs import Job, Jobs
 from .machine import Machine, Placement
@@ -30,7 +32,6 @@
     fetch_s,
     fetches_or_holds,
     fetching,
-    grace,
     permits,
     zone_open,
 )
@@ -77,9 +78,12 @@
         node builds the two for each other."""
         self.fleet = fleet
         self.failures = Failures(self.cx, fleet, self.changed)
+        self.gangs = Gangs(self.cx, fleet, self.work)
         self.preemption = Preemption(self.cx, fleet, self.quota, self.order, self.budget,
-                                     self.work)
-        self.moves = Moves(self.cx, self.shares, fleet, self.work)
+                                     self.work, self.gangs)
+        self.gang_room = GangRoom(self.cx, self.shares, fleet, self.quota, self.gangs,
+                                  self.preemption, self.budget, self._score)
+        self.moves = Moves(self.cx, self.shares, fleet, self.work, self.gangs)
 
     # --- jobs ----------------------------------------------------------------------------
 
@@ -116,6 +120,9 @@
         work.pending = {job.spec.tasks - 1 - n: None for n, bit in enumerate(done)
                         if bit == "0" and job.spec.tasks - 1 - n not in placed}
         self.work[job.uid] = work
+        if job.spec.gang:
+            for placement in self.fleet.of_job(job.uid):
+                self.gangs.placed(work, placement)
         self._dirty = True
 
     def _close(self, job: Job) -> None:
@@ -137,6 +144,8 @@
             zone = placement.machine.record.zone
             work.zones[zone] = work.zones.get(zone, 0) + 1
             work.pending.pop(placement.task.number, None)
+            if work.job.spec.gang:
+                self.gangs.placed(work, placement)
         elif placement.job is not None and placement.job.final:
             self.fleet.stop(placement)
 
@@ -149,6 +158,9 @@
 
     def stopped(self, placement: Placement) -> None:
         self.quota.stops(placement)
+        work = self.work.get(placement.task.job)
+        if work is not None and work.job.spec.gang:
+            self.gangs.stopped(work)
 
     def gone(self, placement: Placement, why: str) -> None:
         """The attempt is over, whatever the reason."""
@@ -160,7 +172,9 @@
         machine = placement.machine
         now = self.cx.now
         if why == "done" and not work.job.spec.service:
-            self.finishes.add(work, index)
+            # If one task of a gang is done, all are.
+            for number in range(work.job.spec.tasks) if work.job.spec.gang else (index,):
+                self.finishes.add(work, number)
             machine.errors.clear()
             machine.did_well = now
             self.failures.acquit(work)
@@ -175,9 +189,7 @@
             work.pending[index] = None
             work.tried.add(index)
             if work.job.spec.gang:
-                # The mates can't go on without it: all start anew together.
-                for mate in self.fleet.of_job(work.job.uid):
-                    self.fleet.stop(mate, grace(mate))
+                self.gangs.gone(work, placement, why)
 
     def _probe(self, work: Work, usable: Usable, roomy: list[Machine],
                claimed: set[MachineId], unlocated: dict[Team, Size]) -> None:
@@ -194,12 +206,16 @@
                 and permits(work.job, m)]
         fits = [m for m in fits if m.id not in work.errors] or fits
         fits = [m for m in fits if work.job.spec.image in m.images] or fits
-        if fits:
+        if fits and work.job.spec.gang:
+            self._serve(work, usable, fits, claimed, unlocated, {}, False)
+        elif fits:
             self._fill(work, usable, fits, claimed, unlocated, False, 1)
-            work.waits = FAILS
+        work.waits = FAILS
 
     def running(self, placement: Placement) -> None:
-        pass
+        work = self.work.get(placement.task.job)
+        if work is not None and work.job.spec.gang:
+            self.gangs.running(work)
 
     def changed(self) -> None:
         self._dirty = True
@@ -258,6 +274,9 @@
             return [m for m in machines if self.fleet.usable(m)]
 
         claimed: set[MachineId] = set()
+        reserved = self.gang_room.reserve(waiting, usable)
+        if reserved is not None:
+            self._serve_reserved(*reserved, usable, claimed, unlocated)
         unmet: list[tuple[Job, int, tuple[str, ...]]] = []
         # Sizes that found no room in this turn: what is no smaller won't find any either.
         full: dict[tuple[Any, ...], list[Size]] = {}
@@ -290,6 +309,13 @@
             again = now + 1.0 if now >= work.not_before or work.zones else work.not_before
             self._due_at = min(self._due_at, Instant(again))
 
+    def _serve_reserved(self, work: Work, ids: set[MachineId], usable: Usable,
+                        claimed: set[MachineId], unlocated: dict[Team, Size]) -> None:
+        machines = [m for m in usable() if m.id in ids]
+        extra = unlocated.get(Team(work.job.spec.team), NOTHING)
+        if self.gang_room.serve(work, usable, machines, claimed, extra, False):
+            claimed |= ids
+
     def _serve_aged(self, holding: Holding, waiting: list[Work], usable: Usable,
                     roomy: list[Machine], claimed: set[MachineId],
                     unlocated: dict[Team, Size]) -> None:
@@ -336,10 +362,13 @@
         if not work.pending:
             return 0
         spec, size = work.job.spec, work.job.size
+        if spec.gang:
+            return self.gang_room.serve(work, usable, roomy, claimed,
+                                        unlocated.get(Team(spec.team), NOTHING), last)
         kind = (spec.spot, spec.types, spec.zone)
         if any(small.fits(size) for small in full.get(kind, ())):
             work.waits = "no machine with room"
-            if last and not spec.gang:
+            if last:
                 self.preemption.make_room(work, usable, claimed, len(work.pending))
             return len(work.pending)
         fits = [m for m in roomy if size.fits(m.room) and m.id not in claimed
@@ -420,16 +449,18 @@
                 count(job, job.spec.tasks - job.done_count - len(self.fleet.of_job(job.uid)))
         return {team: Size(*map(min, size, most)) for team, size in found.items()}
 
-    def _score(self, job: Job, machine: Machine) -> float:
+    def _score(self, job: Job, machine: Machine, used: Size | None = None) -> float:
+        """`used`: its allocations if not those of the ledger, while a set is put together."""
         assert machine.type is not None
-        score = progress(machine.type.size, machine.used, job.size)
+        used = machine.used if used is None else used
+        score = progress(machine.type.size, used, job.size)
         # Extension: seconds until the image is there.
         score -= self.cx.operators.image_weight * fetch_s(job, machine)
         if self.cx.operators.gather_weight:
-            score += self.cx.operators.gather_weight * self._company(job, machine)
+            score += self.cx.operators.gather_weight * self._company(job, machine, used)
         return score
 
-    def _company(self, job: Job, machine: Machine) -> float:
+    def _company(self, job: Job, machine: Machine, used: Size) -> float:
         """Extension: gather what lasts on few machines, and fill those
         first, so that the others fall empty and can be returned. The progress score alone
         scatters tasks that all lean one way, since it favours the lighter machine. Replicas
@@ -443,7 +474,7 @@
             lasting = most - lasting
         # What may use cheap machines fills the dear ones only where they stay anyway.
         dear = 0.0 if machine.record.spot or machine.lasting > 0 or job.spec.service else 0.3
-        return lasting + 0.2 * machine.used.cpus / cpus - dear
+        return lasting + 0.2 * used.cpus / cpus - dear
 
     def _fill(self, work: Work, usable: Usable, fits: list[Machine],
               claimed: set[MachineId], unlocated: dict[Team, Size], last: bool,
@@ -461,16 +492,6 @@
         held = self._room_with_image(work, usable, fits, claimed)
         pool = self.budget.sample(fits, len(work.pending))
         scored = [(-self._score(job, m), n, m) for n, m in enumerate(pool)]
-        holding = self.shares.mine.get(work.share)
-        attempt = holding.next_attempt() if holding is not None else None
-        if job.spec.gang:
-            # Mates know each other by their common attempt, so a gang starts as a whole.
-            if any(work.zones.values()):
-                work.waits = "mates of an earlier attempt are still there"
-                return 0
-            if not self._gang_fits(work, scored, extra):
-                work.waits = "no room for the whole gang"
-                return len(work.pending)
         heapq.heapify(scored)
         end = len(work.pending) - most
         while len(work.pending) > max(held, end):
@@ -488,10 +509,7 @@
             if not scored:
                 break
             _, n, machine = scored[0]
-            if not job.spec.gang:
-                attempt = machine.share.next_attempt()
-            assert attempt is not None
-            self.fleet.place(job, task.number, machine, attempt)
+            self.fleet.place(job, task.number, machine, machine.share.next_attempt())
             self.cx.log("debug", f"{task} placed on {machine.id}, {now - job.submitted:.2f} s"
                                  " after its job")
             if size.fits(machine.room) and len(machine.placements) < MOST_LISTED:
@@ -522,29 +540,6 @@
             return 0
         return self.preemption.make_room(work, usable, claimed, lacking, within)
 
-    def _gang_fits(self, work: Work, scored: list[tuple[float, int, Machine]],
-                   extra: Size) -> bool:
-        """A gang starts only when all of its tasks that wait fit at once."""
-        job = work.job
-        n = len(work.pending)
-        size = Size(job.size.cpus * (n - 1), job.size.memory * (n - 1), job.size.gpus * (n - 1))
-        if not self.quota.allows(job, extra.plus(size)):
-            return False
-        zones: dict[str, int] = {}
-        for _, _, machine in scored:
-            zone = machine.record.zone
-            if zone_open(work, zone):
-                zones[zone] = zones.get(zone, 0) + fits_times(job.size, machine.room)
-        if job.spec.spread:
-            most = (job.spec.tasks + 1) // 2
-            zones = {z: min(k, most - work.zones.get(z, 0)) for z, k in zones.items()}
-        if not job.spec.together:
-            return sum(zones.values()) >= n
-        # All in one zone: only machines of a zone that has room for all of them count.
-        fitting = {z for z, k in zones.items() if k >= n}
-        scored[:] = [entry for entry in scored if entry[2].record.zone in fitting]
-        return bool(fitting)
-
     def tick(self) -> None:
         while self._ending:  # oldest first
             uid = next(iter(self._ending))
--- a/runcourse/core/types.py
+++ b/runcourse/core/types.py
@@ -41,8 +41,8 @@
 class TaskReport(NamedTuple):
     task: TaskId
     attempt: Attempt
-    stage: str  # fetching, running, saving, ended
-    cause: str = ""  # when ended: done, stopped, error, full, busy, unknown
+    stage: str  # fetching, waiting (for its gang), running, saving, ended
+    cause: str = ""  # when ended: done, stopped, error, full, busy, unknown, mates, incomplete
     saved: bool = False
 
 
--- a/runcourse/core/work.py
+++ b/runcourse/core/work.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Callable
 
-from .ids import LONG_AGO, Instant, MachineId, ShareNo
+from .ids import LONG_AGO, Attempt, Instant, MachineId, ShareNo
 from .jobs import Job
 from .machine import Machine, Placement
 
@@ -14,9 +14,9 @@
 class Work:
     """What is left to do of one open job of an owned share."""
 
-    __slots__ = ("aged_until", "errors", "fails_after", "finished", "flushed_at", "flushing",
-                 "job", "mistaken", "not_before", "pending", "probes", "retry_at", "share",
-                 "tried", "waits", "zones")
+    __slots__ = ("aged_until", "attempt", "ending", "errors", "fails_after", "finished",
+                 "flushed_at", "flushing", "incomplete", "job", "mistaken", "not_before",
+                 "pending", "probes", "retry_at", "share", "started", "tried", "waits", "zones")
 
     def __init__(self, job: Job, share: ShareNo) -> None:
         self.job = job
@@ -35,6 +35,11 @@
         self.tried: set[int] = set()  # tasks of which machines may still list a former attempt
         self.probes = 0  # tries since that was found
         self.waits = ""  # why its next task waits
+        # Of a gang alone, which has one attempt for all its tasks:
+        self.attempt: Attempt | None = None
+        self.started = False  # all its tasks ran at the same time, or may have
+        self.ending = False  # the attempt is over, though not everywhere yet
+        self.incomplete = 0  # attempts in turn that were not complete in time
 
 
 def begun(work: Work) -> bool:
--- a/runcourse/wire/messages.py
+++ b/runcourse/wire/messages.py
@@ -161,13 +161,11 @@
 
 # --- workers -----------------------------------------------------------------------------
 
-# "ensemble", "waiting", "mates_gone" and "incomplete" stand in the deployments' lists of names,
-# though not on PROTOCOL's page: see docs/questions.md.
-_STAGES = {"fetching": "fetching", "waiting": "fetching", "running": "running",
+_STAGES = {"fetching": "fetching", "waiting": "waiting", "running": "running",
            "flushing": "saving", "ended": "ended"}
 _CAUSES = {"done": "done", "halted": "stopped", "error": "error", "full": "full",
            "in_use": "busy", "no_such": "unknown", "mates_gone": "mates",
-           "incomplete": "mates"}
+           "incomplete": "incomplete"}
 
 
 class _Leg(Struct, frozen=True):
--- /dev/null
+++ b/tests/test_gangs.py
@@ -0,0 +1,440 @@
+"""Gangs: all tasks run at the same time or none does, in every phase of their lives, whatever
+fails meanwhile."""
+
+from typing import Any
+
+import pytest
+from test_meetings import owner_of_job
+from test_two_troubles import calm, end_of, leader, send, submit
+from world import CANCEL_S, FIVE, GANG_PEER_S, GANG_WAIT_S, LEASE_S, MEMBERS, Worker, World, spec
+
+from runcourse.core import types as t
+from runcourse.core.node import Node
+from runcourse.core.work import Work
+
+BOTH = pytest.mark.parametrize("members", [MEMBERS, FIVE], ids=["three", "five"])
+UID = "j-000001"
+
+
+def gang(uid: str = UID, tasks: int = 4, **changes: Any) -> Any:
+    values: dict[str, Any] = {"gang": True, "together": True, "team": "team-1", "estimate_s": 12.0,
+                              "checkpoint_s": 4.0, "save_s": 1.0}
+    values.update(changes)
+    return spec(uid, tasks=tasks, **values)
+
+
+def fresh(members: tuple[str, ...] = MEMBERS, machines: int = 12, **settings: Any) -> World:
+    settings.setdefault("cpus_max", 100.0)
+    world = World(machines=machines, members=members, **settings)
+    world.run(4.0)
+    return world
+
+
+def node_of(world: World, uid: str = UID) -> Node:
+    node = world.nodes[owner_of_job(world, uid)]
+    assert node is not None
+    return node
+
+
+def work_of(world: World, uid: str = UID) -> Work:
+    return node_of(world, uid).scheduler.work[uid]  # type: ignore[index]
+
+
+def machines_of(world: World, uid: str = UID) -> list[Worker]:
+    return [w for task, w in world.on_machines() if task.job == uid]
+
+
+def stages(world: World, uid: str = UID) -> set[str]:
+    return {e[0] for w in world.workers.values() for (task, _), e in w.tasks.items()
+            if task.job == uid}
+
+
+def runs(world: World, uid: str = UID) -> int:
+    return sum(job == uid for _, job, _ in world.gang_runs)
+
+
+def running(members: tuple[str, ...] = MEMBERS, machines: int = 12, **changes: Any) -> World:
+    world = fresh(members, machines)
+    world.submit(gang(**changes))
+    world.until(lambda: UID in world.running_gangs(), 20)
+    return world
+
+
+# --- placement ---------------------------------------------------------------------------
+
+
+@BOTH
+def test_a_gang_runs_as_a_whole_in_one_zone_with_one_attempt(members: tuple[str, ...]) -> None:
+    world = fresh(members)
+    world.submit(gang())
+    world.until(lambda: UID in world.running_gangs(), 5)
+    assert len({w.zone for w in machines_of(world)}) == 1 and len(machines_of(world)) == 4
+    assert len({attempt for _, _, attempt in world.gang_runs}) == 1
+    world.until(lambda: world.poll(UID) == "done", 20)
+    assert runs(world) == 1 and not world.broken
+
+
+def test_without_room_for_all_none_starts_and_nobody_is_kept_from_the_room() -> None:
+    world = fresh(machines=3)  # one machine a zone: two tasks each
+    world.submit(gang())
+    world.run(3.0)
+    assert not world.starts
+    assert work_of(world).waits == "no room for the whole gang"
+    world.submit(spec("j-000002", tasks=2, team="team-1"))
+    world.until(lambda: world.poll("j-000002") == "done", 10)
+    assert not [x for _, x, _ in world.starts if x.job == UID]
+    assert not world.broken
+
+
+def test_over_several_zones_if_the_job_allows_it() -> None:
+    world = fresh(machines=12)
+    world.submit(gang(tasks=9, together=False, spread=True))
+    world.until(lambda: UID in world.running_gangs(), 40)
+    zones = [w.zone for w in machines_of(world)]
+    assert max(zones.count(z) for z in zones) <= 5 and not world.broken
+
+
+def test_the_zone_whose_slowest_image_is_there_soonest() -> None:
+    world = fresh(machines=15)
+    world.submit(gang("j-000010", tasks=2, image="other"))
+    world.until(lambda: world.poll("j-000010") == "done", 30)
+    node = node_of_team(world)
+    held = {m.record.zone for m in node.fleet.machines.values() if "other" in m.images}
+    world.submit(gang(tasks=2, image="other"))
+    world.until(lambda: UID in world.running_gangs(), 10)
+    assert {w.zone for w in machines_of(world)} == held and not world.broken
+
+
+def node_of_team(world: World) -> Node:
+    return next(n for n in world.nodes.values() if n is not None
+                and n.shares.of_team("team-1") in n.shares.mine)  # type: ignore[arg-type]
+
+
+def test_a_whole_gang_keeps_to_its_team_s_limit() -> None:
+    world = fresh(cpus_max=8.0)
+    assert world.submit(gang("j-000003", tasks=5)) == 422
+    world.submit(spec("j-000004", tasks=1, team="team-1", estimate_s=5.0))
+    world.run(2.0)
+    world.submit(gang(tasks=4))
+    world.run(2.0)
+    assert not machines_of(world) and work_of(world).waits == "team limit"
+    world.until(lambda: UID in world.running_gangs(), 15)
+    assert not world.broken
+
+
+def test_room_is_hired_for_a_gang_in_one_zone() -> None:
+    world = fresh(machines=3)
+    world.capacity = 12
+    world.submit(gang())
+    world.until(lambda: UID in world.running_gangs(), 30)
+    assert len(world.workers) <= 8, "not a machine for each zone"
+    assert not world.broken
+
+
+def test_gangs_and_single_tasks_do_not_starve_each_other() -> None:
+    """A stream of arrays that alone would take each place that falls free."""
+    world = fresh(machines=6)
+    world.submit(spec("j-000099", tasks=12, team="team-1", estimate_s=4.0))
+    world.run(2.0)
+    world.submit(gang(rank=1, tasks=4))
+    world.submit(gang("j-000005", rank=1, tasks=4))
+    begun: set[str] = set()
+    for n in range(60):
+        submit(world, spec(f"j-0001{n:02d}", tasks=2, team="team-1", estimate_s=3.0), "n0")
+        world.run(1.0)
+        begun |= world.running_gangs()
+    assert {UID, "j-000005"} <= begun
+    world.until(lambda: all(world.poll(f"j-0001{n:02d}") == "done" for n in range(60)), 120)
+    assert not world.broken
+
+
+# --- before the start --------------------------------------------------------------------
+
+
+@BOTH
+def test_a_task_lost_before_the_start_is_replaced_under_the_same_attempt(
+        members: tuple[str, ...]) -> None:
+    world = fresh(members)
+    world.fetch_s = 3.0
+    world.submit(gang(tasks=3, spread=False))
+    world.until(lambda: any(task.job == UID for w in world.workers.values()
+                            for task, _ in w.tasks), 5)
+    world.run(1.0)
+    attempt = work_of(world).attempt
+    victim = next(w for w in world.workers.values() if any(k[0].job == UID for k in w.tasks))
+    world.capacity = 14
+    victim.alive = False
+    world.until(lambda: UID in world.running_gangs(), 40)
+    assert world.gang_runs[-1][2] == attempt, "the others waited on"
+    world.until(lambda: world.poll(UID) == "done", 30)
+    assert runs(world) == 1 and not world.broken
+
+
+def test_a_gang_that_is_not_complete_in_time_backs_off_and_says_why() -> None:
+    world = fresh(machines=12)
+    world.submit(gang(tasks=2))
+    world.until(lambda: bool(machines_of(world)), 5)
+    work = work_of(world)
+    node = node_of(world)
+    # Of two tasks that wait, one exits as incomplete.
+    placement = node.fleet.of_job(UID)[0]  # type: ignore[arg-type]
+    work.started = False
+    for mate in node.fleet.of_job(UID):  # type: ignore[arg-type]
+        mate.stage = "waiting"
+    node.fleet._listed(placement.machine, t.TaskReport(placement.task, placement.attempt,
+                                                       "ended", "incomplete"))
+    assert work.ending and work.not_before > node.cx.now and work.incomplete == 1
+    assert any(isinstance(e, t.Log) and "not there" in e.text for e in node.cx.out)
+    assert not any(node.cx.now < m.quarantined_until for m in node.fleet.machines.values())
+    assert not work.errors and not work.mistaken
+
+
+def test_images_slower_than_the_wait_do_not_keep_a_gang_from_starting() -> None:
+    """Those that have theirs give up waiting; what still fetches goes on, and they come again."""
+    world = fresh(machines=12)
+    world.fetch_s = GANG_WAIT_S + 4.0
+    world.submit(gang(tasks=4))
+    world.run(1.0)
+    first = {w.id for w in world.workers.values() if any(k[0].job == UID for k in w.tasks)}
+    assert len(first) == 2
+    world.workers[min(first)].images.add("img")  # there it is at once
+    attempt = work_of(world).attempt
+    world.run(GANG_WAIT_S + 1.0)
+    assert "fetching" in stages(world) and work_of(world).attempt == attempt
+    world.until(lambda: UID in world.running_gangs(), 60)
+    assert not world.broken
+
+
+# --- failure of a running gang -----------------------------------------------------------
+
+
+@BOTH
+@pytest.mark.parametrize("how", ["die", "hang", "blink", "mute", "deaf", "sick"])
+def test_a_task_of_a_running_gang_is_lost(members: tuple[str, ...], how: str) -> None:
+    world = running(members, estimate_s=20.0)
+    world.run(6.0)
+    victim = machines_of(world)[0]
+    if how == "die":
+        victim.alive = False
+    elif how == "hang":
+        victim.hung = True
+        world.after(4.0, lambda: setattr(victim, "hung", False))
+    elif how == "blink":
+        victim.blink()
+    elif how == "mute":
+        world.mute.add(victim.id)
+    elif how == "deaf":
+        world.deaf.add(victim.id)
+    else:
+        victim.sick = True
+        world.after(1.0, lambda: setattr(victim, "sick", False))
+    world.capacity = 16
+    world.run(LEASE_S + 4.0)
+    calm(world)
+    assert world.told[UID] == "done"
+    if how in ("die", "blink", "sick"):
+        assert runs(world) >= 2
+        assert world.gang_runs[-1][2] > world.gang_runs[0][2], "a new attempt, a higher number"
+
+
+def test_no_new_attempt_while_a_task_of_the_old_one_may_be_there() -> None:
+    """Its machine is cut off and runs on: elsewhere, and in another zone, nothing starts."""
+    world = running(estimate_s=30.0)
+    world.run(2.5)
+    cut = machines_of(world)[0]
+    world.cut.update(frozenset((cut.id, m)) for m in MEMBERS)
+    other = next(w for w in machines_of(world) if w is not cut)
+    other.alive = False
+    starts, node = len(world.starts), node_of(world)
+    # Its tasks count as there until it is returned, or its lease is over.
+    while any(p.machine.id == cut.id for p in node.fleet.of_job(UID)):  # type: ignore[arg-type]
+        assert len(world.starts) == starts
+        world.run(0.1)
+    assert world.now > 2.0
+    world.run(20.0)
+    calm(world)
+    assert runs(world) == 2
+
+
+# --- orderly stops -----------------------------------------------------------------------
+
+
+def test_an_orderly_stop_reaches_all_in_time_and_keeps_the_progress() -> None:
+    world = running(estimate_s=30.0)
+    world.run(6.5)
+    node = node_of(world)
+    members = node.fleet.of_job(UID)  # type: ignore[arg-type]
+    node.scheduler.gangs.stop(members[0])
+    world.run(0.5)
+    assert stages(world) == {"saving"}
+    world.until(lambda: not machines_of(world), GANG_PEER_S + 2.0)
+    assert 6.0 < world.progress[UID] < 8.0, "saved, not the checkpoint at 4"
+    world.until(lambda: UID in world.running_gangs(), 20)
+    assert runs(world) == 2 and not world.broken
+
+
+def test_one_that_cannot_be_told_makes_the_stop_a_plain_one() -> None:
+    world = running(estimate_s=30.0)
+    world.run(6.5)
+    node = node_of(world)
+    member = node.fleet.of_job(UID)[0]  # type: ignore[arg-type]
+    node.fleet.doubt(member.machine)
+    node.scheduler.gangs.stop(member)
+    assert {p.grace_s for p in node.fleet.of_job(UID)} == {0.0}  # type: ignore[arg-type]
+    world.run(3.0)
+    assert world.progress[UID] == 4.0
+    calm(world)
+
+
+def test_a_higher_rank_stops_a_whole_gang_and_a_gang_a_whole_set() -> None:
+    world = fresh(machines=4)
+    world.submit(gang(tasks=2, rank=2, estimate_s=60.0, together=False))
+    world.until(lambda: UID in world.running_gangs(), 20)
+    share = node_of(world).scheduler.work[UID].share  # type: ignore[index]
+    room = sum(m.room.cpus for m in node_of(world).fleet.of_share(share))
+    world.submit(spec("j-000020", tasks=int(room / 2) + 1, team="team-1", rank=1, estimate_s=8.0))
+    world.until(lambda: world.told["j-000020"] == "done" or world.poll("j-000020") == "done", 30)
+    world.until(lambda: runs(world) == 2, 20)
+    assert not world.broken
+
+
+def test_a_gang_takes_the_room_of_lesser_work_for_all_or_stops_nobody() -> None:
+    world = fresh(machines=9)
+    node = node_of_team(world)
+    share = node.shares.of_team("team-1")  # type: ignore[arg-type]
+    machines = len(node.fleet.of_share(share))
+    world.submit(spec("j-000021", tasks=2 * machines, team="team-1", rank=3, estimate_s=60.0))
+    world.until(lambda: len(world.on_machines()) == 2 * machines, 10)
+    world.submit(gang(tasks=2 * machines + 2, rank=1, together=False))
+    world.run(5.0)
+    assert len(machines_of(world, "j-000021")) == 2 * machines, "it would not fit whoever stops"
+    world.submit(gang("j-000022", tasks=4, rank=1, together=False))
+    world.until(lambda: "j-000022" in world.running_gangs(), 10)
+    assert len(machines_of(world, "j-000021")) == 2 * machines - 4 and not world.broken
+
+
+def test_a_notice_of_one_machine_stops_the_whole_in_time_to_save() -> None:
+    world = fresh(machines=12)
+    for worker in world.workers.values():
+        worker.spot = False
+    world.submit(gang(estimate_s=40.0, spot=True))
+    world.until(lambda: UID in world.running_gangs(), 20)
+    world.run(6.5)
+    machines_of(world)[0].notice_s = GANG_PEER_S + 1.5
+    world.until(lambda: world.progress.get(UID, 0.0) > 6.0, 6)
+    world.until(lambda: UID in world.running_gangs(), 20)
+    assert not world.broken
+
+
+# --- cancellations, ends, takeovers ------------------------------------------------------
+
+
+@BOTH
+@pytest.mark.parametrize("phase", ["fetching", "waiting", "running", "saving", "mates"])
+@pytest.mark.parametrize("trouble", ["none", "leader ends", "machine cut"])
+def test_cancelled_in_each_phase(members: tuple[str, ...], phase: str, trouble: str) -> None:
+    world = in_phase(members, phase)
+    if trouble == "leader ends":
+        end_of(world, leader(world) or members[0], 1.0)
+    elif trouble == "machine cut" and machines_of(world):
+        cut = machines_of(world)[0]
+        world.cut.update(frozenset((cut.id, m)) for m in members)
+    for k in range(6):
+        send(world, members[k % len(members)], t.Withdraw(0, UID))
+        world.run(0.5)
+    world.run(CANCEL_S)
+    assert world.told[UID] == "cancelled" and not machines_of(world)
+    calm(world)
+
+
+def in_phase(members: tuple[str, ...], phase: str) -> World:
+    world = fresh(members)
+    if phase == "fetching":
+        world.fetch_s = 4.0
+    world.submit(gang(estimate_s=25.0, save_s=1.5))
+    if phase == "waiting":
+        world._step_gangs = lambda: None  # type: ignore[method-assign]
+        world.until(lambda: len(machines_of(world)) == 4, 10)
+        step = type(world)._step_gangs
+        world.after(1.0, lambda: setattr(world, "_step_gangs", lambda: step(world)))
+    elif phase == "fetching":
+        world.run(2.0)
+    else:
+        world.until(lambda: UID in world.running_gangs(), 20)
+        world.run(2.0)
+        node = node_of(world)
+        if phase == "saving":
+            node.scheduler.gangs.stop(node.fleet.of_job(UID)[0])  # type: ignore[arg-type]
+            world.run(0.3)
+        elif phase == "mates":
+            machines_of(world)[0].alive = False
+            world.run(0.2)
+    return world
+
+
+@BOTH
+@pytest.mark.parametrize("phase", ["fetching", "waiting", "running", "saving", "mates"])
+@pytest.mark.parametrize("back_s", [0.2, 20.0], ids=["back at once", "taken over"])
+def test_a_takeover_in_each_phase(members: tuple[str, ...], phase: str, back_s: float) -> None:
+    world = in_phase(members, phase)
+    attempt = work_of(world).attempt
+    end_of(world, owner_of_job(world, UID), back_s)
+    world.run(25.0)
+    calm(world)
+    assert world.told[UID] == "done"
+    if phase == "running":
+        assert runs(world) == 1, "not stopped needlessly"
+    if phase in ("fetching", "waiting", "running"):
+        assert world.gang_runs[0][2] == attempt, "it went on with the attempt it had"
+
+
+@BOTH
+def test_copies_of_reports_of_an_old_attempt_change_nothing(members: tuple[str, ...]) -> None:
+    from test_troubles import again, capture
+
+    world = running(members, estimate_s=25.0)
+    seen = capture(world)
+    world.run(3.0)
+    old = [(m, r) for m, r in seen if any(e.task.job == UID for e in r.tasks)]
+    machines_of(world)[0].blink()
+    world.until(lambda: runs(world) == 2, 30)
+    assert old
+    for member, report in old:
+        again(world, member, report)
+    world.run(2.0)
+    for _, report in old:
+        for m in members:
+            again(world, m, report)
+    calm(world)
+    assert runs(world) == 2 and world.told[UID] == "done"
+
+
+def test_one_done_says_of_all_and_is_stored_once() -> None:
+    world = running(estimate_s=3.0)
+    changes = [0]
+    serve = world.state.serve
+
+    def counting(member: str, effect: Any) -> tuple[int, Any]:
+        if isinstance(effect, t.Commit) and any(UID in key for key, _, _ in effect.then):
+            changes[0] += 1
+        return serve(member, effect)
+
+    world.state.serve = counting  # type: ignore[method-assign]
+    world.until(lambda: world.poll(UID) == "done", 20)
+    world.run(5.0)
+    assert changes[0] == 1 and not world.broken
+    assert not node_of_team(world).fleet.of_job(UID)  # type: ignore[arg-type]
+
+
+def test_a_mistaken_gang_is_tried_as_a_whole_and_ever_more_seldom() -> None:
+    world = fresh()
+    world.mistaken.add(UID)
+    world.submit(gang(tasks=3))
+    world.run(30.0)
+    tries = runs(world)
+    assert tries >= 2
+    world.run(40.0)
+    assert runs(world) - tries <= 3
+    assert world.withdraw(UID) == "cancelled"
+    world.run(CANCEL_S + 2.0)
+    assert not machines_of(world) and not world.broken
--- a/tests/world.py
+++ b/tests/world.py
@@ -31,6 +31,8 @@
 LEASE_S = 6.0
 REPORT_S = 1.0
 CANCEL_S = 20.0
+GANG_WAIT_S = 8.0
+GANG_PEER_S = 2.0
 TYPE = t.MachineType("m4", 4.0, 16.0, 0.0, 40.0, 1.0, 1.0, 0.3, 2.0, ("a", "b", "c"))
 MEMBERS = ("n0", "n1", "n2")
 FIVE = (*MEMBERS, "n3", "n4")
@@ -46,7 +48,7 @@
         settings=Deployment(
             nodes=len(members), zones=ZONES, objectives=objectives,
             teams=tuple(TeamSettings(f"team-{i}", 4.0, cpus_max) for i in range(4)),
-            workers=WorkerSettings(REPORT_S, lease_s, CANCEL_S),
+            workers=WorkerSettings(REPORT_S, lease_s, CANCEL_S, GANG_WAIT_S, GANG_PEER_S),
             state=StateSettings(rps=400.0, write_rps=200.0), cloud=CloudSettings(10.0, 2.0)))
 
 
@@ -141,6 +143,7 @@
         self.spot = spot
         self.session, self.seq, self.token = 1, 0, 0
         self.tasks: dict[tuple[Any, int], list[Any]] = {}  # -> [stage, cause, since]
+        self.images: set[str] = set()
         self.renewed = world.now
         self.alive = True
         self.hung = False
@@ -167,7 +170,7 @@
         self.seq += 1
         return t.Report(self.id, f"{self.id}:1", "m4", self.zone, self.spot, self.session,  # type: ignore[arg-type]
                         self.seq, self.token, self.notice_s,  # type: ignore[arg-type]
-                        tuple(t.TaskReport(task, attempt, stage, cause)  # type: ignore[arg-type]
+                        tuple(t.TaskReport(task, attempt, stage, cause, cause == "stopped")  # type: ignore[arg-type]
                               for (task, attempt), (stage, cause, _) in self.tasks.items()))
 
     def step(self) -> None:
@@ -184,9 +187,15 @@
             return
         for (task, _), entry in self.tasks.items():
             job = self.world.specs[task.job]
-            if entry[0] == "fetching" and now - entry[2] > 0.2:
+            if entry[0] == "fetching" and (now - entry[2] > self.world.fetch_s
+                                           or (job.gang and job.image in self.images)):
+                self.images.add(job.image)
                 self.world.check_start(self, task)
-                entry[0], entry[2] = "running", now
+                entry[0], entry[2] = "waiting" if job.gang else "running", now
+            if job.gang and entry[0] == "waiting" and now - entry[2] > GANG_WAIT_S:
+                entry[0], entry[1] = "ended", "incomplete"
+            if job.gang and not self.sick:
+                continue  # the rest is seen to for the whole of it
             if entry[0] == "running" and (self.sick or task.job in self.world.mistaken):
                 entry[0], entry[1] = "ended", "error"
             elif entry[0] == "running" and not job.service and now - entry[2] > job.estimate_s:
@@ -247,7 +256,8 @@
                 else:
                     self.tasks[key] = ["fetching", "", self.world.now]
             elif order.op == "stop" and key in self.tasks and self.tasks[key][0] != "ended":
-                self.tasks[key] = ["ended", "stopped", self.world.now]
+                if not self.world.saves(order, self.tasks[key]):
+                    self.tasks[key] = ["ended", "stopped", self.world.now]
             elif order.op == "forget":
                 self.tasks.pop(key, None)
 
@@ -261,6 +271,16 @@
         return 200, self.report()
 
 
+class Gang:
+    """One attempt of a gang that has started: its tasks tick together."""
+
+    def __init__(self, now: float) -> None:
+        self.since = now
+        self.told_at: float | None = None  # the first order to stop it
+        self.broken_at: float | None = None  # one of them is gone, or its machine hangs
+        self.over = False
+
+
 class World:
     def __init__(self, seed: int = 1, machines: int = 4, members: tuple[str, ...] = MEMBERS,
                  **settings: Any) -> None:
@@ -285,6 +305,10 @@
         self.hold = False  # do cuts hold commands back, to deliver them late?
         self.held: list[Callable[[], None]] = []
         self.deaf: set[str] = set()  # workers whose reports arrive, and nothing reaches them
+        self.fetch_s = 0.2  # until a machine holds an image
+        self.gangs: dict[tuple[Any, int], Gang] = {}  # by job and attempt
+        self.progress: dict[Any, float] = {}  # of gangs, saved
+        self.gang_runs: list[tuple[float, Any, int]] = []  # when gangs began to run
         self.mute: set[str] = set()  # workers that reach no node, while commands reach them
         self.slow_state = 0.0  # seconds more that the state service takes to answer
         self.slow_links = 0.0  # seconds more that every message takes
@@ -613,7 +637,73 @@
 
     def on_machines(self) -> list[tuple[Any, Worker]]:
         return [(task, w) for w in self.workers.values() if w.alive
-                for (task, _), e in w.tasks.items() if e[0] == "running"]
+                for (task, _), e in w.tasks.items() if e[0] in ("running", "waiting", "saving")]
+
+    # --- gangs -----------------------------------------------------------------------
+
+    def running_gangs(self) -> set[str]:
+        return {str(uid) for (uid, _), gang in self.gangs.items() if not gang.over}
+
+    def saves(self, order: t.Order, entry: list[Any]) -> bool:
+        """A task of a running gang that is told to stop with time to save goes on doing that."""
+        job = self.specs[order.task.job]
+        gang = self.gangs.get((order.task.job, order.attempt))
+        if (not job.gang or gang is None or gang.over or entry[0] not in ("running", "saving")
+                or not job.checkpoint_s or order.grace_s < job.save_s):
+            return False
+        if entry[0] == "running":
+            entry[0], entry[2] = "saving", self.now
+        if gang.told_at is None:
+            gang.told_at = self.now
+        return True
+
+    def _step_gangs(self) -> None:
+        found: dict[tuple[Any, int], list[tuple[Worker, Any, list[Any]]]] = {}
+        for worker in self.workers.values():
+            for (task, attempt), entry in worker.tasks.items():
+                if worker.alive and self.specs[task.job].gang and entry[0] != "ended":
+                    found.setdefault((task.job, attempt), []).append((worker, task, entry))
+        for key, members in found.items():
+            if key not in self.gangs:
+                ready = {task for w, task, e in members if e[0] == "waiting" and not w.hung}
+                if len(ready) == self.specs[key[0]].tasks:
+                    self.gangs[key] = Gang(self.now)
+                    self.gang_runs.append((self.now, *key))
+                    for _, _, entry in members:
+                        entry[0], entry[2] = "running", self.now
+        for key, gang in self.gangs.items():
+            if not gang.over:
+                self._step_gang(key[0], gang, found.get(key, []))
+
+    def _step_gang(self, uid: Any, gang: Gang, members: list[tuple[Worker, Any, list[Any]]]
+                   ) -> None:
+        job, now = self.specs[uid], self.now
+        reached = self.progress.get(uid, 0.0) + (gang.told_at or now) - gang.since
+        there = [m for m in members if m[2][0] in ("running", "saving")]
+
+        def end(cause: str, progress: float) -> None:
+            gang.over = True
+            self.progress[uid] = progress
+            for _, task, entry in there:
+                entry[0], entry[1] = "ended", cause
+                if cause == "done":
+                    self.finished.add(task)
+
+        marked = reached - reached % job.checkpoint_s if job.checkpoint_s else 0.0
+        if len(there) < job.tasks or any(w.hung for w, _, _ in there):
+            gang.broken_at = gang.broken_at or now
+            if now - gang.broken_at > 0.5 * GANG_PEER_S:
+                end("mates", marked)
+        elif gang.told_at is not None:
+            saved = [e for _, _, e in there if e[0] == "saving" and now - e[2] >= job.save_s]
+            if len(saved) == job.tasks:
+                end("stopped", reached)
+            elif now - gang.told_at > GANG_PEER_S and any(e[0] == "running" for _, _, e in there):
+                end("mates", marked)
+        elif uid not in self.mistaken and reached > job.estimate_s:
+            end("done", job.estimate_s)
+        elif uid in self.mistaken:
+            end("error", 0.0)
 
     def check_start(self, worker: Worker, task: Any) -> None:
         self.starts.append((self.now, task, worker.id))
@@ -643,6 +733,7 @@
         self.state.expire()
         for worker in self.workers.values():
             worker.step()
+        self._step_gangs()
         for task, worker in self.on_machines():
             told = self.cancelled_at.get(task.job)
             if told is not None and self.now > told + CANCEL_S:
