--- a/runcourse/core/gang_room.py
+++ b/runcourse/core/gang_room.py
@@ -8,13 +8,13 @@
 from __future__ import annotations
 
 import heapq
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 from typing import NamedTuple
 
 from .budget import Budget
 from .context import Context
 from .gangs import Gangs
-from .ids import Instant, MachineId, TaskId, later
+from .ids import MachineId, TaskId
 from .jobs import Job
 from .machine import Machine
 from .machines import MOST_LISTED, Fleet
@@ -27,8 +27,10 @@
 Score = Callable[[Job, Machine, Size], float]
 
 NO_ROOM = "no room for the whole gang"
-RESERVE_AFTER_S = 15.0  # what falls free in one place is kept for a gang that waits longer
+RESERVE_AFTER_S = 15.0  # what falls free in one place is kept for a gang that waits longer; where
+# its class is promised to start within some time, for one that has waited half of that
 FREE_SOON_S = 60.0  # what will run longer is not counted on
+KEPT_PART = 0.2  # of a share's CPUs, kept for gangs at the most, beyond the first
 
 
 class Plan(NamedTuple):
@@ -39,7 +41,8 @@
 
 class GangRoom:
     def __init__(self, cx: Context, shares: Shares, fleet: Fleet, quota: Quota, gangs: Gangs,
-                 preemption: Preemption, budget: Budget, score: Score) -> None:
+                 preemption: Preemption, budget: Budget, score: Score,
+                 within: Mapping[str, float]) -> None:
         self.cx = cx
         self.shares = shares
         self.fleet = fleet
@@ -48,6 +51,7 @@
         self.preemption = preemption
         self.budget = budget
         self.score = score
+        self.within = within  # seconds that a class is promised to start in
 
     def serve(self, work: Work, usable: Usable, machines: Iterable[Machine],
               claimed: set[MachineId], unlocated: Size, last: bool) -> int:
@@ -130,39 +134,57 @@
 
     # --- gangs that wait long ------------------------------------------------------------
 
-    def reserve(self, waiting: list[Work], usable: Usable) -> tuple[Work, set[MachineId]] | None:
-        """Single tasks would take whatever falls free before it is enough for a gang. So for the
-        one that has waited longest, where least is missing, nothing else is started for a while;
-        no more machines than it needs, and none whose work will take long."""
-        now = self.cx.now
+    def reserve(self, waiting: list[Work], usable: Usable) -> list[tuple[Work, set[MachineId]]]:
+        """Single tasks would take whatever falls free before it is enough for a gang. So for those
+        that have waited longest, where least is missing, nothing else is started for a while;
+        no more machines than they need, none whose work will take long, and a part of all only."""
         aged = [w for w in waiting if w.job.spec.gang and not w.mistaken and w.attempt is None
-                and now > later(Instant(w.job.submitted), RESERVE_AFTER_S)]
+                and self.cx.now > w.job.submitted + self._patience(w.job)]
+        if not aged:
+            return []
+        kept: list[tuple[Work, set[MachineId]]] = []
+        machines = usable()
+        left = KEPT_PART * sum(m.type.cpus for m in machines if m.type)
         for work in sorted(aged, key=lambda w: (w.job.submitted, w.job.uid)):
-            job, n = work.job, len(work.pending)
-            if not self.quota.allows(job, self.gangs.size(work)):
+            if not self.quota.allows(work.job, self.gangs.size(work)):
                 continue
-            zones: dict[str, list[tuple[int, int, Machine]]] = {}
-            for machine in usable():
-                soon = fits_times(job.size, self._soon(machine))
-                if soon and permits(job, machine):
-                    zone = machine.record.zone if job.spec.together else ""
-                    free = fits_times(job.size, machine.room)
-                    zones.setdefault(zone, []).append((free, soon, machine))
-            best: tuple[int, set[MachineId]] | None = None
-            for zone in sorted(zones):
-                lacks, ids, there = 0, set(), 0
-                for free, soon, machine in sorted(zones[zone],
-                                                  key=lambda z: (z[0] - z[1], -z[1], z[2].id)):
-                    if there >= n:
-                        break
-                    there += soon
-                    lacks += soon - free
-                    ids.add(machine.id)
-                if there >= n and (best is None or lacks < best[0]):
-                    best = (lacks, ids)
-            if best is not None:
-                return work, best[1]
-        return None
+            taken = {id for _, ids in kept for id in ids}
+            found = self._soonest(work, [m for m in machines if m.id not in taken])
+            if found is None:
+                continue
+            left -= sum(m.type.cpus for m in found if m.type)
+            if kept and left < 0:
+                break
+            kept.append((work, {m.id for m in found}))
+        return kept
+
+    def _patience(self, job: Job) -> float:
+        within = self.within.get(job.spec.lane)
+        return RESERVE_AFTER_S if within is None else within / 2
+
+    def _soonest(self, work: Work, machines: list[Machine]) -> list[Machine] | None:
+        """The machines, in one zone if it must be, where least has to fall free for the whole."""
+        job, n = work.job, len(work.pending)
+        zones: dict[str, list[tuple[int, int, Machine]]] = {}
+        for machine in machines:
+            soon = fits_times(job.size, self._soon(machine))
+            if soon and permits(job, machine):
+                zone = machine.record.zone if job.spec.together else ""
+                free = fits_times(job.size, machine.room)
+                zones.setdefault(zone, []).append((free, soon, machine))
+        best: tuple[int, list[Machine]] | None = None
+        for zone in sorted(zones):
+            lacks, chosen, there = 0, [], 0
+            for free, soon, machine in sorted(zones[zone],
+                                              key=lambda z: (z[0] - z[1], -z[1], z[2].id)):
+                if there >= n:
+                    break
+                there += soon
+                lacks += soon - free
+                chosen.append(machine)
+            if there >= n and (best is None or lacks < best[0]):
+                best = (lacks, chosen)
+        return best[1] if best else None
 
     def _soon(self, machine: Machine) -> Size:
         """Its room once what ends soon has ended."""
--- a/runcourse/core/preemption.py
+++ b/runcourse/core/preemption.py
@@ -166,6 +166,10 @@
             if placement.job is None:
                 continue
             team = Team(placement.job.spec.team)
+            # One task of an array would stop many, which then fill other gaps, to be stopped for
+            # the next: a gang makes way for replicas and for gangs only.
+            if placement.job.spec.gang and not (job.spec.service or job.spec.gang):
+                continue
             # Else what began at last, with least to lose, would be stopped at once, and started
             # and stopped again many times a second.
             work = self.work.get(placement.task.job)
--- a/runcourse/core/scheduler.py
+++ b/runcourse/core/scheduler.py
@@ -82,7 +82,8 @@
         self.preemption = Preemption(self.cx, fleet, self.quota, self.order, self.budget,
                                      self.work, self.gangs)
         self.gang_room = GangRoom(self.cx, self.shares, fleet, self.quota, self.gangs,
-                                  self.preemption, self.budget, self._score)
+                                  self.preemption, self.budget, self._score,
+                                  self.order.within)
         self.moves = Moves(self.cx, self.shares, fleet, self.work, self.gangs)
 
     # --- jobs ----------------------------------------------------------------------------
@@ -274,9 +275,8 @@
             return [m for m in machines if self.fleet.usable(m)]
 
         claimed: set[MachineId] = set()
-        reserved = self.gang_room.reserve(waiting, usable)
-        if reserved is not None:
-            self._serve_reserved(*reserved, usable, claimed, unlocated)
+        for work, ids in self.gang_room.reserve(waiting, usable):
+            self._serve_reserved(work, ids, usable, claimed, unlocated)
         unmet: list[tuple[Job, int, tuple[str, ...]]] = []
         # Sizes that found no room in this turn: what is no smaller won't find any either.
         full: dict[tuple[Any, ...], list[Size]] = {}
--- /dev/null
+++ b/tests/production.py
@@ -0,0 +1,109 @@
+"""The version in production as a node of the scripted world, from the repository's history.
+
+`python3 tests/production.py` writes tests/data/production-store.json anew: what nodes of that
+version leave in the state service after a story of theirs.
+"""
+
+from __future__ import annotations
+
+import importlib
+import json
+import subprocess
+import sys
+import tarfile
+import tomllib
+from io import BytesIO
+from pathlib import Path
+from typing import Any
+
+ROOT = Path(__file__).resolve().parent.parent
+STORED = ROOT / "tests" / "data" / "production-store.json"
+NAME = "runcourse_production"
+
+
+def commit() -> str:
+    with (ROOT / "deploy" / "service.toml").open("rb") as file:
+        return str(tomllib.load(file)["production"])
+
+
+def checkout() -> Path | None:
+    """Where its package lies under another name; None: the history isn't there."""
+    place = ROOT / "target" / "production" / commit()
+    if not (place / NAME / "core" / "node.py").exists():
+        tree = subprocess.run(["git", "archive", commit(), "runcourse"], cwd=ROOT,
+                              capture_output=True, check=False)
+        if tree.returncode:
+            return None
+        place.mkdir(parents=True, exist_ok=True)
+        with tarfile.open(fileobj=BytesIO(tree.stdout)) as archive:
+            for member in archive.getmembers():
+                member.name = NAME + member.name.removeprefix("runcourse")
+                archive.extract(member, place, filter="data")
+    return place
+
+
+def modules() -> dict[str, Any] | None:
+    place = checkout()
+    if place is None:
+        return None
+    if str(place) not in sys.path:
+        sys.path.insert(0, str(place))
+    return {name: importlib.import_module(f"{NAME}.core.{name}")
+            for name in ("node", "types", "jobs")}
+
+
+class Former:
+    """A node of that version among others: what goes in and comes out changes its type only."""
+
+    def __init__(self, platform: Any, operators: Any, rng: Any, now: Any) -> None:
+        found = modules()
+        assert found is not None
+        self.types = found["types"]
+        self.node = found["node"].Node(platform, operators, rng, now)
+
+    def __getattr__(self, name: str) -> Any:
+        return getattr(self.node, name)
+
+    def _report(self, report: Any) -> Any:
+        # As its wire module reads a worker's words.
+        tasks = tuple(self.types.TaskReport(
+            e.task, e.attempt, "fetching" if e.stage == "waiting" else e.stage,
+            "mates" if e.cause == "incomplete" else e.cause, e.saved) for e in report.tasks)
+        return self.types.Report(*report._replace(tasks=tasks))
+
+    def handle(self, now: float, event: Any) -> list[Any]:
+        from runcourse.core import types as t
+
+        values = {f: getattr(event, f) for f in event.__struct_fields__}
+        if isinstance(event, t.Beat):
+            values["report"] = self._report(event.report)
+        if isinstance(event, t.Outcome) and isinstance(event.body, t.Report):
+            values["body"] = self._report(event.body)
+        effects = self.node.handle(now, getattr(self.types, type(event).__name__)(**values))
+        return [getattr(t, type(e).__name__)(**{f: getattr(e, f) for f in e.__struct_fields__})
+                for e in effects]
+
+
+def story() -> dict[str, Any]:
+    """Nodes of that version run services and arrays, some cancelled, one half done."""
+    from world import World, spec
+
+    world = World(machines=9, cpus_max=100.0, former=True)
+    world.run(4.0)
+    world.submit(spec("j-000001", tasks=2, team="team-0", service=True, rank=0))
+    world.submit(spec("j-000002", tasks=3, team="team-1", estimate_s=1.0))
+    world.submit(spec("j-000003", tasks=2, team="team-2", estimate_s=200.0))
+    world.submit(spec("j-000004", tasks=30, team="team-3", estimate_s=2.0, types=("m4",),
+                      spread=True, deadline_s=60.0))
+    world.run(12.0)
+    world.withdraw("j-000003")
+    world.run(3.0)
+    return {"command": "python3 tests/production.py", "commit": commit(),
+            "told": world.told, "data": {k: list(v) for k, v in sorted(world.state.data.items())},
+            "epoch": world.state.epoch}
+
+
+if __name__ == "__main__":
+    sys.path[:0] = [str(ROOT), str(ROOT / "tests")]
+    STORED.parent.mkdir(exist_ok=True)
+    STORED.write_text(json.dumps(story(), indent=1, sort_keys=True) + "\n")
