--- a/runcourse/core/gang_room.py
+++ b/runcourse/core/gang_room.py
@@ -14,7 +14,7 @@
 from .budget import Budget
 from .context import Context
 from .gangs import Gangs
-from .ids import MachineId, TaskId
+from .ids import JobId, MachineId, TaskId
 from .jobs import Job
 from .machine import Machine
 from .machines import MOST_LISTED, Fleet
@@ -134,28 +134,27 @@
 
     # --- gangs that wait long ------------------------------------------------------------
 
-    def reserve(self, waiting: list[Work], usable: Usable) -> list[tuple[Work, set[MachineId]]]:
+    def reserve(self, waiting: list[Work], usable: Usable) -> dict[MachineId, JobId]:
         """Single tasks would take whatever falls free before it is enough for a gang. So for those
         that have waited longest, where least is missing, nothing else is started for a while;
         no more machines than they need, none whose work will take long, and a part of all only."""
         aged = [w for w in waiting if w.job.spec.gang and not w.mistaken and w.attempt is None
                 and self.cx.now > w.job.submitted + self._patience(w.job)]
         if not aged:
-            return []
-        kept: list[tuple[Work, set[MachineId]]] = []
+            return {}
+        kept: dict[MachineId, JobId] = {}
         machines = usable()
         left = KEPT_PART * sum(m.type.cpus for m in machines if m.type)
         for work in sorted(aged, key=lambda w: (w.job.submitted, w.job.uid)):
             if not self.quota.allows(work.job, self.gangs.size(work)):
                 continue
-            taken = {id for _, ids in kept for id in ids}
-            found = self._soonest(work, [m for m in machines if m.id not in taken])
+            found = self._soonest(work, [m for m in machines if m.id not in kept])
             if found is None:
                 continue
             left -= sum(m.type.cpus for m in found if m.type)
             if kept and left < 0:
                 break
-            kept.append((work, {m.id for m in found}))
+            kept.update((m.id, work.job.uid) for m in found)
         return kept
 
     def _patience(self, job: Job) -> float:
--- a/runcourse/core/scheduler.py
+++ b/runcourse/core/scheduler.py
@@ -71,6 +71,7 @@
         self._queued = 0  # jobs that waited in the newest turn
         # CPUs that hold an image, and CPUs of all usable machines
         self._held: dict[ShareNo, tuple[Instant, dict[str, float], float]] = {}
+        self._kept: dict[MachineId, JobId] = {}  # whose room is kept for which gang, this turn
         self._lasting = 0.0  # CPUs of services in the share whose turn it is
 
     def join(self, fleet: Fleet) -> None:
@@ -275,8 +276,7 @@
             return [m for m in machines if self.fleet.usable(m)]
 
         claimed: set[MachineId] = set()
-        for work, ids in self.gang_room.reserve(waiting, usable):
-            self._serve_reserved(work, ids, usable, claimed, unlocated)
+        self._kept = self.gang_room.reserve(waiting, usable)
         unmet: list[tuple[Job, int, tuple[str, ...]]] = []
         # Sizes that found no room in this turn: what is no smaller won't find any either.
         full: dict[tuple[Any, ...], list[Size]] = {}
@@ -309,12 +309,10 @@
             again = now + 1.0 if now >= work.not_before or work.zones else work.not_before
             self._due_at = min(self._due_at, Instant(again))
 
-    def _serve_reserved(self, work: Work, ids: set[MachineId], usable: Usable,
-                        claimed: set[MachineId], unlocated: dict[Team, Size]) -> None:
-        machines = [m for m in usable() if m.id in ids]
-        extra = unlocated.get(Team(work.job.spec.team), NOTHING)
-        if self.gang_room.serve(work, usable, machines, claimed, extra, False):
-            claimed |= ids
+    def _open_to(self, job: Job, machine: Machine) -> bool:
+        """Not kept for another. What may stop a gang takes its room too: it would stop it at once,
+        and both would begin again and again."""
+        return job.spec.service or self._kept.get(machine.id, job.uid) == job.uid
 
     def _serve_aged(self, holding: Holding, waiting: list[Work], usable: Usable,
                     roomy: list[Machine], claimed: set[MachineId],
@@ -330,7 +328,8 @@
             most = max(first, int(credit))
             if most and before:
                 fits = [m for m in roomy if work.job.size.fits(m.room)
-                        and m.id not in claimed and permits(work.job, m)]
+                        and m.id not in claimed and permits(work.job, m)
+                        and self._open_to(work.job, m)]
                 self._fill(work, usable, fits, claimed, unlocated, False, most)
                 credit -= max(0, before - len(work.pending) - first)
                 if len(work.pending) == before and not first:
@@ -363,7 +362,8 @@
             return 0
         spec, size = work.job.spec, work.job.size
         if spec.gang:
-            return self.gang_room.serve(work, usable, roomy, claimed,
+            return self.gang_room.serve(work, usable,
+                                        [m for m in roomy if self._open_to(work.job, m)], claimed,
                                         unlocated.get(Team(spec.team), NOTHING), last)
         kind = (spec.spot, spec.types, spec.zone)
         if any(small.fits(size) for small in full.get(kind, ())):
@@ -372,9 +372,10 @@
                 self.preemption.make_room(work, usable, claimed, len(work.pending))
             return len(work.pending)
         fits = [m for m in roomy if size.fits(m.room) and m.id not in claimed
-                and permits(work.job, m)]
+                and permits(work.job, m) and self._open_to(work.job, m)]
         if not fits:
-            full.setdefault(kind, []).append(size)
+            if spec.service or not self._kept:  # what is kept for gangs is room to others
+                full.setdefault(kind, []).append(size)
             if not last:
                 return len(work.pending)
         return self._fill(work, usable, fits, claimed, unlocated, last)
