--- a/tests/test_gangs.py
+++ b/tests/test_gangs.py
@@ -94,6 +94,18 @@
     assert max(zones.count(z) for z in zones) <= 5 and not world.broken
 
 
+def test_a_set_that_its_zones_do_not_take_is_not_begun() -> None:
+    """Room enough, but half of a spread job at the most may be in one zone."""
+    world = World(machines=0, cpus_max=100.0)
+    for _ in range(4):
+        world.boot("a", False)
+    world.capacity = 4
+    world.run(6.0)
+    world.submit(gang(tasks=4, together=False, spread=True))
+    world.run(8.0)
+    assert not world.starts and work_of(world).waits == "no room for the whole gang"
+
+
 def test_the_zone_whose_slowest_image_is_there_soonest() -> None:
     world = fresh(machines=15)
     world.submit(gang("j-000010", tasks=2, image="other"))
@@ -157,11 +169,11 @@
     world.submit(gang("j-000005", rank=1, tasks=4))
     begun: set[str] = set()
     for n in range(60):
-        submit(world, spec(f"j-0001{n:02d}", tasks=2, team="team-1", estimate_s=3.0), "n0")
+        submit(world, spec(f"j-0001{n:02d}", tasks=4, team="team-1", estimate_s=3.0), "n0")
         world.run(1.0)
         begun |= world.running_gangs()
     assert {UID, "j-000005"} <= begun
-    world.until(lambda: all(world.poll(f"j-0001{n:02d}") == "done" for n in range(60)), 120)
+    world.until(lambda: all(world.poll(f"j-0001{n:02d}") == "done" for n in range(60)), 200)
     assert not world.broken
 
 
@@ -273,6 +285,24 @@
     assert runs(world) == 2
 
 
+def test_a_running_gang_that_lost_a_task_ends_whoever_notices() -> None:
+    """The owner that was told, or one that took over later and finds a task of it nowhere."""
+    for told in (True, False):
+        world = running(estimate_s=60.0)
+        world.run(2.5)
+        node, work = node_of(world), work_of(world)
+        assert work.started
+        lost = node.fleet.of_job(UID)[0]  # type: ignore[arg-type]
+        if told:
+            node.fleet._remove(lost, "lease")
+        else:  # as if it had never been heard of here
+            node.fleet._deactivate(lost, lost.stage)
+            del lost.machine.placements[(lost.task, lost.attempt)]
+            work.pending[lost.task.number] = None
+            node.scheduler.gangs.look(work)
+        assert work.ending and all(p.stopping for p in node.fleet.of_job(UID))  # type: ignore[arg-type]
+
+
 # --- orderly stops -----------------------------------------------------------------------
 
 
@@ -290,6 +320,23 @@
     assert runs(world) == 2 and not world.broken
 
 
+def test_who_is_ready_first_in_an_orderly_stop_cuts_nobody_s_saving_short() -> None:
+    world = running(estimate_s=30.0)
+    world.run(2.5)
+    node = node_of(world)
+    members = node.fleet.of_job(UID)  # type: ignore[arg-type]
+    node.scheduler.gangs.stop(members[0])
+    first = members[0]
+    node.fleet._listed(first.machine, t.TaskReport(first.task, first.attempt, "ended", "stopped",
+                                                   True))
+    assert not first.active
+    assert all(p.grace_s == 1.0 and not p.forced for p in members[1:])
+    # A cancellation has no time for that.
+    world.withdraw(UID)
+    assert all(p.grace_s == 0.0 and p.forced for p in members[1:] if p.active)
+    calm(world)
+
+
 def test_one_that_cannot_be_told_makes_the_stop_a_plain_one() -> None:
     world = running(estimate_s=30.0)
     world.run(6.5)
