--- a/runcourse/core/scheduler.py
+++ b/runcourse/core/scheduler.py
@@ -41,6 +41,7 @@
 AGED_CREDIT = 50.0
 PLENTY = 2.0  # an image is held by enough machines: twice its part of what waits
 HELD_EVERY_S = 1.0  # between two counts of what images the machines hold
+ELSEWHERE_S = 3.0  # for which new replicas leave the room that is kept for gangs
 AT_RISK = 0.1  # part of a share's replicas, by CPUs, that may gather on one machine
 MACHINE_S = 60.0  # a machine is paid for so long at the least
 QUEUED_PER_S = 5_000.0  # and so do jobs gone through
@@ -276,7 +277,7 @@
             return [m for m in machines if self.fleet.usable(m)]
 
         claimed: set[MachineId] = set()
-        self._kept = self.gang_room.reserve(waiting, usable)
+        self._kept = self.preemption.kept = self.gang_room.reserve(waiting, usable)
         unmet: list[tuple[Job, int, tuple[str, ...]]] = []
         # Sizes that found no room in this turn: what is no smaller won't find any either.
         full: dict[tuple[Any, ...], list[Size]] = {}
@@ -310,9 +311,12 @@
             self._due_at = min(self._due_at, Instant(again))
 
     def _open_to(self, job: Job, machine: Machine) -> bool:
-        """Not kept for another. What may stop a gang takes its room too: it would stop it at once,
-        and both would begin again and again."""
-        return job.spec.service or self._kept.get(machine.id, job.uid) == job.uid
+        """Not kept for another. Replicas look elsewhere at first, or a stream of new ones would
+        take all that is kept; then they take it, as they would stop the gang there at once, and
+        both would begin again and again."""
+        if self._kept.get(machine.id, job.uid) == job.uid:
+            return True
+        return job.spec.service and self.cx.now > job.submitted + ELSEWHERE_S
 
     def _serve_aged(self, holding: Holding, waiting: list[Work], usable: Usable,
                     roomy: list[Machine], claimed: set[MachineId],
@@ -372,9 +376,11 @@
                 self.preemption.make_room(work, usable, claimed, len(work.pending))
             return len(work.pending)
         fits = [m for m in roomy if size.fits(m.room) and m.id not in claimed
-                and permits(work.job, m) and self._open_to(work.job, m)]
+                and permits(work.job, m)]
+        if self._kept:
+            fits = [m for m in fits if self._open_to(work.job, m)]
         if not fits:
-            if spec.service or not self._kept:  # what is kept for gangs is room to others
+            if not self._kept:  # what is kept for gangs is room to others
                 full.setdefault(kind, []).append(size)
             if not last:
                 return len(work.pending)
