Room kept for gangs is bounded in time, and open to arrays that have not begun for 45 s

Cause, by reasoning: what is kept where nothing falls free would stand idle beside waiting arrays for ever. Ruled out: starving gangs by it, as only an array's first task goes there.

--- a/runcourse/core/gang_room.py
+++ b/runcourse/core/gang_room.py
@@ -30,6 +30,7 @@
 RESERVE_AFTER_S = 15.0  # what falls free in one place is kept for a gang that waits longer; where
 # its class is promised to start within some time, for one that has waited half of that
 FREE_SOON_S = 60.0  # what will run longer is not counted on
+KEEP_S = 60.0  # for so long at a time
 KEPT_PART = 0.2  # of a share's CPUs, kept for gangs at the most, beyond the first
 
 
@@ -148,6 +149,11 @@
         for work in sorted(aged, key=lambda w: (w.job.submitted, w.job.uid)):
             if not self.quota.allows(work.job, self.gangs.size(work)):
                 continue
+            # What does not fall free in that time falls free too seldom to be waited for.
+            if self.cx.now > work.kept_at + 2 * KEEP_S:
+                work.kept_at = self.cx.now
+            elif self.cx.now > work.kept_at + KEEP_S:
+                continue
             found = self._soonest(work, [m for m in machines if m.id not in kept])
             if found is None:
                 continue
--- a/runcourse/core/scheduler.py
+++ b/runcourse/core/scheduler.py
@@ -13,7 +13,7 @@
 from .failures import FAILS, Failures
 from .finishes import Finishes
 from .gang_room import GangRoom
-from .gangs import Gangs
+from .gangs import INCOMPLETE, Gangs
 from .ids import ALWAYS, LONG_AGO, Instant, JobId, MachineId, ShareNo, TaskId, Team, later
 from .jobs import Job, Jobs
 from .machine import Machine, Placement
@@ -42,6 +42,7 @@
 PLENTY = 2.0  # an image is held by enough machines: twice its part of what waits
 HELD_EVERY_S = 1.0  # between two counts of what images the machines hold
 ELSEWHERE_S = 3.0  # for which new replicas leave the room that is kept for gangs
+UNBEGUN_S = 45.0  # an array that waits longer begins wherever there is room
 AT_RISK = 0.1  # part of a share's replicas, by CPUs, that may gather on one machine
 MACHINE_S = 60.0  # a machine is paid for so long at the least
 QUEUED_PER_S = 5_000.0  # and so do jobs gone through
@@ -258,7 +259,7 @@
             elif work.mistaken:
                 mistaken.append(work)
             elif now < work.not_before:
-                work.waits = "its start was refused"
+                work.waits = INCOMPLETE if work.incomplete else "its start was refused"
                 self._due_at = min(self._due_at, work.not_before)
             else:
                 waiting.append(work)
@@ -310,13 +311,16 @@
             again = now + 1.0 if now >= work.not_before or work.zones else work.not_before
             self._due_at = min(self._due_at, Instant(again))
 
-    def _open_to(self, job: Job, machine: Machine) -> bool:
+    def _open_to(self, work: Work, machine: Machine) -> bool:
         """Not kept for another. Replicas look elsewhere at first, or a stream of new ones would
         take all that is kept; then they take it, as they would stop the gang there at once, and
-        both would begin again and again."""
+        both would begin again and again. An array that has not begun for long begins there."""
+        job = work.job
         if self._kept.get(machine.id, job.uid) == job.uid:
             return True
-        return job.spec.service and self.cx.now > job.submitted + ELSEWHERE_S
+        waits = self.cx.now - job.submitted
+        return ((job.spec.service and waits > ELSEWHERE_S)
+                or (not job.spec.gang and waits > UNBEGUN_S and not begun(work)))
 
     def _serve_aged(self, holding: Holding, waiting: list[Work], usable: Usable,
                     roomy: list[Machine], claimed: set[MachineId],
@@ -333,7 +337,7 @@
             if most and before:
                 fits = [m for m in roomy if work.job.size.fits(m.room)
                         and m.id not in claimed and permits(work.job, m)
-                        and self._open_to(work.job, m)]
+                        and self._open_to(work, m)]
                 self._fill(work, usable, fits, claimed, unlocated, False, most)
                 credit -= max(0, before - len(work.pending) - first)
                 if len(work.pending) == before and not first:
@@ -367,7 +371,7 @@
         spec, size = work.job.spec, work.job.size
         if spec.gang:
             return self.gang_room.serve(work, usable,
-                                        [m for m in roomy if self._open_to(work.job, m)], claimed,
+                                        [m for m in roomy if self._open_to(work, m)], claimed,
                                         unlocated.get(Team(spec.team), NOTHING), last)
         kind = (spec.spot, spec.types, spec.zone)
         if any(small.fits(size) for small in full.get(kind, ())):
@@ -378,7 +382,7 @@
         fits = [m for m in roomy if size.fits(m.room) and m.id not in claimed
                 and permits(work.job, m)]
         if self._kept:
-            fits = [m for m in fits if self._open_to(work.job, m)]
+            fits = [m for m in fits if self._open_to(work, m)]
         if not fits:
             if not self._kept:  # what is kept for gangs is room to others
                 full.setdefault(kind, []).append(size)
