--- a/tests/test_gangs.py
+++ b/tests/test_gangs.py
@@ -9,6 +9,7 @@
 from world import CANCEL_S, FIVE, GANG_PEER_S, GANG_WAIT_S, LEASE_S, MEMBERS, Worker, World, spec
 
 from runcourse.core import types as t
+from runcourse.core.machine import Placement
 from runcourse.core.node import Node
 from runcourse.core.work import Work
 
@@ -303,14 +304,19 @@
         assert work.ending and all(p.stopping for p in node.fleet.of_job(UID))  # type: ignore[arg-type]
 
 
+def after(run_s: float) -> tuple[World, Node, list[Placement]]:
+    """A gang that has run for so long, its owner, and its tasks as that sees them."""
+    world = running(estimate_s=30.0)
+    world.run(run_s)
+    node = node_of(world)
+    return world, node, node.fleet.of_job(UID)  # type: ignore[arg-type]
+
+
 # --- orderly stops -----------------------------------------------------------------------
 
 
 def test_an_orderly_stop_reaches_all_in_time_and_keeps_the_progress() -> None:
-    world = running(estimate_s=30.0)
-    world.run(6.5)
-    node = node_of(world)
-    members = node.fleet.of_job(UID)  # type: ignore[arg-type]
+    world, node, members = after(6.5)
     node.scheduler.gangs.stop(members[0])
     world.run(0.5)
     assert stages(world) == {"saving"}
@@ -321,10 +327,7 @@
 
 
 def test_who_is_ready_first_in_an_orderly_stop_cuts_nobody_s_saving_short() -> None:
-    world = running(estimate_s=30.0)
-    world.run(2.5)
-    node = node_of(world)
-    members = node.fleet.of_job(UID)  # type: ignore[arg-type]
+    world, node, members = after(2.5)
     node.scheduler.gangs.stop(members[0])
     first = members[0]
     node.fleet._listed(first.machine, t.TaskReport(first.task, first.attempt, "ended", "stopped",
@@ -338,12 +341,9 @@
 
 
 def test_one_that_cannot_be_told_makes_the_stop_a_plain_one() -> None:
-    world = running(estimate_s=30.0)
-    world.run(6.5)
-    node = node_of(world)
-    member = node.fleet.of_job(UID)[0]  # type: ignore[arg-type]
-    node.fleet.doubt(member.machine)
-    node.scheduler.gangs.stop(member)
+    world, node, members = after(6.5)
+    node.fleet.doubt(members[0].machine)
+    node.scheduler.gangs.stop(members[0])
     assert {p.grace_s for p in node.fleet.of_job(UID)} == {0.0}  # type: ignore[arg-type]
     world.run(3.0)
     assert world.progress[UID] == 4.0
--- a/tests/test_two_troubles.py
+++ b/tests/test_two_troubles.py
@@ -64,6 +64,24 @@
     send(world, member, t.Submit(0, job.uid, job))
 
 
+def out_of_reach(world: World, ids: list[str], how: str) -> None:
+    """Machines that are cut off, hear nothing, or hang; what is sent to them may come late."""
+    if how == "cut":
+        world.hold = True
+        world.cut.update(frozenset((id, m)) for id in ids for m in world.members)
+    elif how == "deaf":
+        world.deaf.update(ids)
+    else:
+        for id in ids:
+            world.workers[id].hung = True
+
+
+def go_on(world: World, ids: list[str]) -> None:
+    for id in ids:
+        if id in world.workers:
+            world.workers[id].hung = False
+
+
 def calm(world: World, limit: float = 90.0) -> None:
     """The troubles are over: what should be true of every job then."""
     world.cut.clear()
@@ -176,21 +194,12 @@
         members: tuple[str, ...], how: str) -> None:
     world = busy(members)
     ids = sorted(world.workers)[::2]
-    if how == "cut":
-        world.hold = True
-        world.cut.update(frozenset((id, m)) for id in ids for m in members)
-    elif how == "deaf":
-        world.deaf.update(ids)
-    else:
-        for id in ids:
-            world.workers[id].hung = True
+    out_of_reach(world, ids, how)
     who = leader(world)
     assert who is not None
     world.crash(who)
     world.run(LEASE_S - 2.0)
-    for id in ids:
-        if id in world.workers:
-            world.workers[id].hung = False
+    go_on(world, ids)
     world.run(6.0)
     calm(world)
 
@@ -340,12 +349,7 @@
         submit(world, spec(f"j-00010{n}", tasks=4, team=f"team-{n}", estimate_s=3.0), members[0])
     world.run(1.0)
     ids = [w.id for _, w in world.on_machines()][::2]
-    if how == "cut":
-        world.hold = True
-        world.cut.update(frozenset((id, m)) for id in ids for m in members)
-    else:
-        for id in ids:
-            world.workers[id].hung = True
+    out_of_reach(world, ids, how)
     who = leader(world)
     assert who is not None
     world.crash(who)
@@ -354,9 +358,7 @@
         for n in range(TEAMS):
             send(world, members[(n + k) % len(members)], t.Withdraw(0, f"j-00000{n}"))
     world.run(LEASE_S - 3.0)
-    for id in ids:
-        if id in world.workers:
-            world.workers[id].hung = False
+    go_on(world, ids)
     world.run(CANCEL_S)
     calm(world)
 
