--- a/runcourse/core/confirmations.py
+++ b/runcourse/core/confirmations.py
@@ -5,7 +5,7 @@
 
 - this node owns the job's share and may command: it knows;
 - the share's present owner says, over the peer link, that it knows;
-- a *knowing majority*: so many nodes know that any majority that could vouch for any owner has
+- a *quorum* of nodes knows: so many that any majority that could vouch for any owner has
   one of them in it, and a vouch brings what its giver knows, or is refused.
 
 Knowing lasts: a cancellation is stored before anybody hears of it, and a process that starts
@@ -67,8 +67,8 @@
         return len(self._inquiries)
 
     @property
-    def enough(self) -> int:
-        """So many nodes meet every majority that vouches for an owner who isn't among them."""
+    def quorum(self) -> int:
+        """So many nodes that know meet every majority that vouches for an owner not among them."""
         return len(self.cx.members) - self.cx.majority + 1
 
     def confirm(self, job: Job, then: Waiter) -> None:
@@ -93,7 +93,7 @@
         knowing = {m for m, applied in self._applied.items() if ABSENT < job.cancelled <= applied}
         knowing |= self._knowing.get(uid, set())
         owns = self.shares.may_command(self.shares.of_team(Team(job.spec.team)))
-        if not owns and 1 + len(knowing) < self.enough:
+        if not owns and 1 + len(knowing) < self.quorum:
             return False
         self._confirmed.add(uid)
         self._knowing.pop(uid, None)
@@ -103,7 +103,7 @@
         """Are there peers left whose word would do?"""
         near = [m for m, at in self._heard.items() if self.cx.now - at < HEARD_S]
         owner = self.shares.living_owner(self.shares.of_team(Team(job.spec.team)))
-        return owner in near or 1 + len(near) >= self.enough
+        return owner in near or 1 + len(near) >= self.quorum
 
     def _ask(self, job: Job, inquiry: _Inquiry) -> None:
         now = self.cx.now
--- a/runcourse/core/gang_room.py
+++ b/runcourse/core/gang_room.py
@@ -27,11 +27,12 @@
 Score = Callable[[Job, Machine, Size], float]
 
 NO_ROOM = "no room for the whole gang"
-RESERVE_AFTER_S = 15.0  # what falls free in one place is kept for a gang that waits longer; where
-# its class is promised to start within some time, for one that has waited half of that
+# What falls free in one place is reserved for a gang that waits longer; where its class is promised
+# to start within some time, for one that has waited half of that.
+RESERVE_AFTER_S = 15.0
 FREE_SOON_S = 60.0  # what will run longer is not counted on
-KEEP_S = 60.0  # for so long at a time
-KEPT_PART = 0.2  # of a share's CPUs, kept for gangs at the most, beyond the first
+RESERVED_S = 60.0  # for so long at a time
+RESERVED_PART = 0.2  # of a share's CPUs, reserved for gangs at the most, beyond the first
 
 
 class Plan(NamedTuple):
@@ -143,25 +144,25 @@
                 and self.cx.now > w.job.submitted + self._patience(w.job)]
         if not aged:
             return {}
-        kept: dict[MachineId, JobId] = {}
+        reserved: dict[MachineId, JobId] = {}
         machines = usable()
-        left = KEPT_PART * sum(m.type.cpus for m in machines if m.type)
+        left = RESERVED_PART * sum(m.type.cpus for m in machines if m.type)
         for work in sorted(aged, key=lambda w: (w.job.submitted, w.job.uid)):
             if not self.quota.allows(work.job, self.gangs.size(work)):
                 continue
             # What does not fall free in that time falls free too seldom to be waited for.
-            if self.cx.now > work.kept_at + 2 * KEEP_S:
-                work.kept_at = self.cx.now
-            elif self.cx.now > work.kept_at + KEEP_S:
+            if self.cx.now > work.reserved_at + 2 * RESERVED_S:
+                work.reserved_at = self.cx.now
+            elif self.cx.now > work.reserved_at + RESERVED_S:
                 continue
-            found = self._soonest(work, [m for m in machines if m.id not in kept])
+            found = self._soonest(work, [m for m in machines if m.id not in reserved])
             if found is None:
                 continue
             left -= sum(m.type.cpus for m in found if m.type)
-            if kept and left < 0:
+            if reserved and left < 0:
                 break
-            kept.update((m.id, work.job.uid) for m in found)
-        return kept
+            reserved.update((m.id, work.job.uid) for m in found)
+        return reserved
 
     def _patience(self, job: Job) -> float:
         within = self.within.get(job.spec.lane)
--- a/runcourse/core/preemption.py
+++ b/runcourse/core/preemption.py
@@ -32,7 +32,7 @@
         self.budget = budget
         self.work = work
         self.gangs = gangs
-        self.kept: Mapping[MachineId, JobId] = {}  # where room is kept for a gang, this turn
+        self.reserved: Mapping[MachineId, JobId] = {}  # machines, each for a gang, this turn
         # Sizes for which, in this turn, nothing could be stopped to make room; by who asks.
         self._hopeless: dict[tuple[Any, ...], list[Size]] = {}
 
@@ -76,7 +76,7 @@
         above = spec.rank - (guaranteed > 0)
         enough = job.size.cpus - 1e-6
         pool = self.budget.sample([m for m in usable() if m.id not in claimed
-                                   and m.id not in self.kept and m.below(above) >= enough
+                                   and m.id not in self.reserved and m.below(above) >= enough
                                    and permits(job, m)], 4 * missing)
         self.budget.weigh_tasks(pool)
         for machine in pool:
@@ -118,7 +118,7 @@
         if asks in self._hopeless:
             return
         pool = [m for m in usable() if m.id not in claimed and permits(job, m)
-                and self.kept.get(m.id, job.uid) == job.uid
+                and self.reserved.get(m.id, job.uid) == job.uid
                 and zone_open(work, m.record.zone)
                 and m.below(job.spec.rank - guaranteed) >= job.size.cpus - 1e-6]
         self.budget.weigh_tasks(pool)
--- a/runcourse/core/scheduler.py
+++ b/runcourse/core/scheduler.py
@@ -41,7 +41,7 @@
 AGED_CREDIT = 50.0
 PLENTY = 2.0  # an image is held by enough machines: twice its part of what waits
 HELD_EVERY_S = 1.0  # between two counts of what images the machines hold
-ELSEWHERE_S = 3.0  # for which new replicas leave the room that is kept for gangs
+ELSEWHERE_S = 3.0  # for which new replicas leave the room that is reserved for gangs
 UNBEGUN_S = 45.0  # an array that waits longer begins wherever there is room
 AT_RISK = 0.1  # part of a share's replicas, by CPUs, that may gather on one machine
 MACHINE_S = 60.0  # a machine is paid for so long at the least
@@ -73,7 +73,7 @@
         self._queued = 0  # jobs that waited in the newest turn
         # CPUs that hold an image, and CPUs of all usable machines
         self._held: dict[ShareNo, tuple[Instant, dict[str, float], float]] = {}
-        self._kept: dict[MachineId, JobId] = {}  # whose room is kept for which gang, this turn
+        self._reserved: dict[MachineId, JobId] = {}  # machines, each for a gang, this turn
         self._lasting = 0.0  # CPUs of services in the share whose turn it is
 
     def join(self, fleet: Fleet) -> None:
@@ -278,7 +278,7 @@
             return [m for m in machines if self.fleet.usable(m)]
 
         claimed: set[MachineId] = set()
-        self._kept = self.preemption.kept = self.gang_room.reserve(waiting, usable)
+        self._reserved = self.preemption.reserved = self.gang_room.reserve(waiting, usable)
         unmet: list[tuple[Job, int, tuple[str, ...]]] = []
         # Sizes that found no room in this turn: what is no smaller won't find any either.
         full: dict[tuple[Any, ...], list[Size]] = {}
@@ -312,11 +312,11 @@
             self._due_at = min(self._due_at, Instant(again))
 
     def _open_to(self, work: Work, machine: Machine) -> bool:
-        """Not kept for another. Replicas look elsewhere at first, or a stream of new ones would
-        take all that is kept; then they take it, as they would stop the gang there at once, and
+        """Not reserved for another. Replicas look elsewhere at first, or a stream of new ones would
+        take all that is reserved; then they take it, as they would stop the gang there at once, and
         both would begin again and again. An array that has not begun for long begins there."""
         job = work.job
-        if self._kept.get(machine.id, job.uid) == job.uid:
+        if self._reserved.get(machine.id, job.uid) == job.uid:
             return True
         waits = self.cx.now - job.submitted
         return ((job.spec.service and waits > ELSEWHERE_S)
@@ -381,10 +381,10 @@
             return len(work.pending)
         fits = [m for m in roomy if size.fits(m.room) and m.id not in claimed
                 and permits(work.job, m)]
-        if self._kept:
+        if self._reserved:
             fits = [m for m in fits if self._open_to(work, m)]
         if not fits:
-            if not self._kept:  # what is kept for gangs is room to others
+            if not self._reserved:  # what is reserved for gangs is room to others
                 full.setdefault(kind, []).append(size)
             if not last:
                 return len(work.pending)
--- a/runcourse/core/work.py
+++ b/runcourse/core/work.py
@@ -15,8 +15,9 @@
     """What is left to do of one open job of an owned share."""
 
     __slots__ = ("aged_until", "attempt", "ending", "errors", "fails_after", "finished",
-                 "flushed_at", "flushing", "incomplete", "job", "kept_at", "mistaken", "not_before",
-                 "pending", "probes", "retry_at", "share", "started", "tried", "waits", "zones")
+                 "flushed_at", "flushing", "incomplete", "job", "mistaken", "not_before",
+                 "pending", "probes", "reserved_at", "retry_at", "share", "started", "tried",
+                 "waits", "zones")
 
     def __init__(self, job: Job, share: ShareNo) -> None:
         self.job = job
@@ -39,7 +40,7 @@
         self.attempt: Attempt | None = None
         self.started = False  # all its tasks ran at the same time, or may have
         self.ending = False  # the attempt is over, though not everywhere yet
-        self.kept_at = LONG_AGO  # since when room is kept for it
+        self.reserved_at = LONG_AGO  # since when room is reserved for it
         self.incomplete = 0  # attempts in turn that were not complete in time
 
 
--- a/tests/test_cancellations.py
+++ b/tests/test_cancellations.py
@@ -277,12 +277,12 @@
     assert not world.on_machines()
 
 
-def test_how_many_nodes_make_a_knowing_majority() -> None:
+def test_how_many_nodes_make_a_quorum() -> None:
     """With any owner outside of it, no majority can vouch without one of them."""
     for members in (MEMBERS, (*MEMBERS, "n3"), FIVE):
         world = World(machines=1, members=members)
         node = node_of(world, "n0")
-        enough = node.confirmations.enough
-        others_without = len(members) - 1 - enough
+        quorum = node.confirmations.quorum
+        others_without = len(members) - 1 - quorum
         assert others_without < node.cx.majority - 1 <= others_without + 1
         assert node.cx.now == Instant(0.0)
