--- a/tests/test_gangs.py
+++ b/tests/test_gangs.py
@@ -10,6 +10,7 @@
 
 from runcourse.core import types as t
 from runcourse.core.machine import Placement
+from runcourse.core.needs import Load, load_of
 from runcourse.core.node import Node
 from runcourse.core.work import Work
 
@@ -144,6 +145,31 @@
     assert not world.broken
 
 
+def test_what_comes_up_in_several_zones_is_of_no_use_to_a_gang_in_one() -> None:
+    world = fresh(machines=3)
+    node = node_of_team(world)
+    world.submit(gang(tasks=6))
+    world.run(1.0)
+    share = node.shares.of_team("team-1")  # type: ignore[arg-type]
+    load = load_of(node.cx, share, node.fleet, node.scheduler)
+    (need,) = Load(load, node.cx.now).needs
+    assert need.block and need.hire == 6 and sum(need.room.values()) >= 2
+    (zone,) = [z for z, n in need.room.items() if n == max(need.room.values())][:1]
+    other, third = sorted({"a", "b", "c"} - {zone})
+    rental = node.rental
+
+    def left(coming: dict[str, float]) -> int:
+        rental._left_over([need], {("m4", z, False): n for z, n in coming.items()})
+        return need.count
+
+    assert left({zone: 1.0, other: 1.0, third: 1.0}) > 0, "eight tasks' room, in three zones"
+    assert need.lacks[zone] == 6 - need.room[zone] - 2
+    options = [(1.0, node.fleet.types["m4"], z, False) for z in (zone, other, third)]
+    assert {o[2] for o in rental._one_zone(share, need, options)} == {zone}
+    assert need.count == need.lacks[zone], "only what is missing there"
+    assert left({zone: 2.0}) == 0
+
+
 def test_machines_of_another_share_make_up_for_what_a_zone_lacks() -> None:
     """Its own share has room for a part in that zone; an empty machine of another is the rest.
     Found by the random interleavings: only zones with empty machines for the whole counted."""
