--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -40,7 +40,8 @@
     first = wire.report(wire.encode({**BEAT, "legs": legs}))
     later = wire.report(wire.encode({**BEAT, "tick": 90, "legs": legs}))
     assert later.tasks is first.tasks and later.seq == 90
-    other = wire.report(wire.encode({**BEAT, "legs": [{**legs[0], "stage": "flushing"}, *legs[1:]]}))
+    changed = [{**legs[0], "stage": "flushing"}, *legs[1:]]
+    other = wire.report(wire.encode({**BEAT, "legs": changed}))
     assert [e.stage for e in other.tasks] == ["saving", *["running"] * 3]
     many = [{"leg": f"j-{n:06d}/3", "try": 2, "stage": "running"} for n in range(400)]
     long = [wire.report(wire.encode({**BEAT, "legs": many})) for _ in range(2)]
