--- a/tests/test_two_troubles.py
+++ b/tests/test_two_troubles.py
@@ -23,13 +23,16 @@
 
 
 def busy(members: tuple[str, ...], machines: int = 12, **settings: Any) -> World:
-    """Each team has two replicas and an array of long tasks that run."""
+    """Each team has two replicas, an array of long tasks and a gang that run."""
     world = fresh(members, machines, **settings)
     for n in range(TEAMS):
         world.submit(spec(f"j-00000{n}", tasks=2, team=f"team-{n}", service=True, rank=0,
                           cpus=1.0))
         world.submit(spec(f"j-00001{n}", tasks=3, team=f"team-{n}", cpus=1.0, estimate_s=40.0))
-    world.until(lambda: len(world.on_machines()) == 5 * TEAMS, 20)
+        world.submit(spec(f"j-00002{n}", tasks=2, team=f"team-{n}", gang=True, cpus=0.5,
+                          memory=1.0, together=n % 2 == 0, checkpoint_s=3.0, save_s=0.5,
+                          estimate_s=30.0))
+    world.until(lambda: len(world.on_machines()) == 7 * TEAMS, 20)
     return world
 
 
