--- a/runcourse/config.py
+++ b/runcourse/config.py
@@ -116,6 +116,7 @@
     """How the process's sockets are divided."""
 
     commands: int  # to workers, open at once
+    probes: int  # of those, questions to workers that may not answer
     kept: int  # idle ones to workers
     reports: int  # of workers
     served: int  # all that are accepted: reports, users and health checks
@@ -136,6 +137,7 @@
         rest = max(self.fd_limit - 40 - 4 * nodes, self.fd_limit // 4, 10)
         return Sockets(
             commands=max(2, rest // 10),
+            probes=max(1, rest // 20),
             kept=max(2, rest // 10),
             reports=rest * 6 // 10,
             served=rest * 8 // 10,
--- a/runcourse/core/balance.py
+++ b/runcourse/core/balance.py
@@ -5,14 +5,16 @@
 from ..wire.peer_messages import TransferMachine, VacateMachine, YieldMachines
 from .context import Context
 from .demand import Demand, LoadReport, serves
+from .fleet_view import IdleMachines
 from .ids import Instant, ShareNo
 from .machines import Fleet
 from .placement import fits_times
 from .shares import Shares
-from .spare_capacity import IdleMachines
 from .transfers import MachineTransfers
 
 VACATE_AFTER_S = 2.0  # work that cheap machines can't take waits so long for an empty one
+VACATE_EVERY_S = 1.0  # between two rounds of such requests
+MACHINES_PER_VACATE = 1_000  # of the fleet, for each request in a round beyond the first
 BALANCE_EVERY_S = 2.0
 UNEVEN = 1.5  # by how much more a share must ask for its CPUs before another yields some
 
@@ -52,7 +54,7 @@
                 if need.block and need.count > 0 and not self._one_zone(need, others, idle):
                     continue
                 for other in others:
-                    for entry in list(idle[other]):
+                    for entry in list(idle.get(other, ())):
                         seconds, id, record = entry
                         type_ = self.fleet.types[record.type]
                         n = fits_times(need.size, type_.size)
@@ -72,7 +74,7 @@
         """Is there a zone with empty machines for all that it lacks? Then only those are moved."""
         room: dict[str, int] = {}
         for other in others:
-            for seconds, _, record in idle[other]:
+            for seconds, _, record in idle.get(other, ()):
                 if seconds >= 1.0 and serves(need, record.type, record.zone, record.spot):
                     n = fits_times(need.size, self.fleet.types[record.type].size)
                     room[record.zone] = room.get(record.zone, 0) + n
@@ -102,19 +104,24 @@
             ),
             key=lambda w: w[:3],
         )
+        left = 1 + len(self.fleet.records) // MACHINES_PER_VACATE
         for _, _, share, need in waiting:
             others = sorted(
                 {
-                    r.share
-                    for r in self.fleet.records.values()
-                    if r.share != share and not r.leaving and serves(need, r.type, r.zone, r.spot)
+                    group.share
+                    for group in self.fleet.groups.counts()
+                    if group.share != share
+                    and not group.leaving
+                    and serves(need, group.type, group.zone, group.spot)
                 }
             )
             if others:
-                self._vacate_at = Instant(now + 1.0)
+                self._vacate_at = Instant(now + VACATE_EVERY_S)
                 other = self.context.rng.choice(others)
                 self.transfers.ask_owner(other, VacateMachine(other, share, need.entry))
-                return
+                left -= 1
+                if not left:
+                    return
 
     def _one_machine(self, need: Demand) -> bool:
         """Would one machine, emptied, be of use?"""
--- a/runcourse/core/budget.py
+++ b/runcourse/core/budget.py
@@ -26,9 +26,11 @@
 
     def sample(self, machines: list[Machine], least: int = 0) -> list[Machine]:
         """All machines while a turn's budget lasts; then, as more is asked than a turn can
-        weigh, a random sample."""
-        most = max(self.context.operators.sample, least)
-        if self._weighed >= self.context.operators.turn_budget and len(machines) > most:
+        weigh, a random sample. Never more than the budget, however many there are."""
+        most = max(self.context.operators.turn_budget, least)
+        if self._weighed >= self.context.operators.turn_budget:
+            most = max(self.context.operators.sample, least)
+        if len(machines) > most:
             machines = self.context.rng.sample(machines, most)
         self._weighed += len(machines)
         return machines
--- a/runcourse/core/demand.py
+++ b/runcourse/core/demand.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 from typing import NamedTuple
 
 from ..wire.peer_messages import DemandEntry, MachineLoad, ShareLoad
@@ -13,6 +14,8 @@
 from .scheduler import Scheduler
 
 Place = tuple[str, str, bool]  # type, zone, spot
+LOAD_VALID_S = 5.0  # for which an owner's word on its share counts
+LOAD_PAGE = 500  # machines in one message to the leader
 
 
 class _Shape(NamedTuple):
@@ -81,13 +84,12 @@
 class LoadReport:
     """What an owner tells of a share."""
 
-    __slots__ = ("at", "demands", "machines", "used")
+    __slots__ = ("at", "demands", "used")
 
     def __init__(self, message: ShareLoad, at: Instant) -> None:
         self.at = at
         self.demands = [Demand(entry) for entry in message.needs]
         self.used = message.used
-        self.machines = message.machines
 
 
 def serves(need: Demand, type_: str, zone: str, spot: bool) -> bool:
@@ -113,19 +115,46 @@
 def _room(share: ShareNo, fleet: Fleet, size: Size, spot: bool) -> dict[str, int]:
     """How many tasks of that size would start at once, by zone."""
     room: dict[str, int] = {}
-    for machine in fleet.of_share(share):
-        if size.fits(machine.room) and (spot or not machine.record.spot) and fleet.usable(machine):
+    for machine in fleet.of_share(share).with_room(size):
+        if (spot or not machine.record.spot) and fleet.usable(machine):
             zone = machine.record.zone
             room[zone] = room.get(zone, 0) + fits_times(size, machine.room)
     return room
 
 
-def share_load(context: Context, share: ShareNo, fleet: Fleet, scheduler: Scheduler) -> ShareLoad:
-    """What the owner of a share tells of it."""
+class LoadPages:
+    """Parts the machines of a share into pages, told in turn: a message must not grow with it."""
+
+    def __init__(self, fleet: Fleet, share: ShareNo) -> None:
+        self.fleet = fleet
+        self.share = share
+        self._left: list[Machine] = []  # of the present round, the next one last
+
+    def all(self) -> list[Machine]:
+        """Every machine at once, for a leader of a former version."""
+        return list(self.fleet.of_share(self.share))
+
+    def next(self) -> list[Machine]:
+        """The next page; all machines if they are no more than one holds."""
+        if not self._left:
+            self._left = self.all()
+            self._left.reverse()
+        page, self._left = self._left[-LOAD_PAGE:], self._left[:-LOAD_PAGE]
+        return [m for m in reversed(page) if self.fleet.machines.get(m.id) is m]
+
+
+def share_load(
+    context: Context,
+    share: ShareNo,
+    machines: Iterable[Machine],
+    fleet: Fleet,
+    scheduler: Scheduler,
+) -> ShareLoad:
+    """What the owner of a share tells of it, and of some or all of its machines."""
     return ShareLoad(
         share,
-        sum(m.used.cpus for m in fleet.of_share(share)),
-        {str(m.id): _machine_load(context, m) for m in fleet.of_share(share)},
+        fleet.of_share(share).used_cpus,
+        {str(m.id): _machine_load(context, m) for m in machines},
         _entries(context, share, fleet, scheduler),
     )
 
--- a/runcourse/core/draining.py
+++ b/runcourse/core/draining.py
@@ -186,9 +186,10 @@
 
     def tick(self) -> None:
         """Go on with the machines under notice and those being emptied."""
-        for machine in self.fleet.machines.values():
-            if machine.notice_until is not None and self.shares.may_command(machine.share.number):
-                self._leave(machine)
+        for number in self.shares.owned:
+            if self.shares.may_command(number):
+                for machine in self.fleet.of_share(number).under_notice():
+                    self._leave(machine)
         for machine in list(self._draining):
             if (
                 self.context.now >= machine.draining_until
--- a/runcourse/core/finishes.py
+++ b/runcourse/core/finishes.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import heapq
+
 from .context import Context
-from .ids import Instant, JobId, Stamp
+from .ids import ALWAYS, Instant, JobId, Stamp, later
 from .jobs import DONE, JOB, PAGE_BITS, PART, PART_BITS, Job, PageValue, final_value
 from .shares import Shares
 from .sizes import json_size
@@ -14,6 +16,7 @@
 
 FLUSH_GAP_S = 1.0  # between two stored changes of one job that do not complete it
 RETRY_STORE_S = 0.3  # after a change that was not stored
+LOOK_AGAIN_S = 0.05  # while this node may not act for the share
 RETRY_REJECTED_S = 5.0  # after one that was too large
 
 
@@ -25,30 +28,55 @@
         self.store = store
         self.shares = shares
         self._unstored: dict[JobId, Work] = {}
+        self._due: list[tuple[Instant, JobId]] = []  # heap of when to look at which job again
+        self._due_at: dict[JobId, Instant] = {}  # the one entry of each job that counts
         self._small = False  # a page was too large for the state service
 
     def add(self, work: Work, number: int) -> None:
         """The task is finished and not stored yet."""
         work.finished |= 1 << number
         self._unstored[work.job.uid] = work
+        self._schedule(work)
 
     def drop(self, uid: JobId) -> None:
         """The job needs no more stores from here."""
         self._unstored.pop(uid, None)
+        self._due_at.pop(uid, None)
+
+    def _schedule(self, work: Work) -> None:
+        """Look at the job when its next change is due; at once if it completes the job."""
+        if work.flushing:
+            return  # scheduled when that is answered
+        at = work.retry_at
+        if not self._complete(work):
+            at = max(at, later(work.flushed_at, FLUSH_GAP_S))
+        self._look_at(work.job.uid, at)
+
+    def _look_at(self, uid: JobId, at: Instant) -> None:
+        if at < self._due_at.get(uid, ALWAYS):
+            self._due_at[uid] = at
+            heapq.heappush(self._due, (at, uid))
+
+    @staticmethod
+    def _complete(work: Work) -> bool:
+        """Are all tasks of the job finished?"""
+        return (work.job.done_bits | work.finished).bit_count() >= work.job.spec.tasks
 
     def flush(self) -> None:
         """Store what is due."""
         now = self.context.now
-        for work in list(self._unstored.values()):
-            if work.flushing or now < work.retry_at:
-                continue
-            job = work.job
-            complete = (job.done_bits | work.finished).bit_count() >= job.spec.tasks
-            if not complete and now < work.flushed_at + FLUSH_GAP_S:
+        while self._due and self._due[0][0] <= now:
+            at, uid = heapq.heappop(self._due)
+            if self._due_at.get(uid) != at:
                 continue
-            if not self.shares.may_command(work.share):
+            del self._due_at[uid]
+            work = self._unstored.get(uid)
+            if work is None or work.flushing:
                 continue
-            self.store_some(work, complete)
+            if self.shares.may_command(work.share):
+                self.store_some(work, self._complete(work))
+            else:
+                self._look_at(uid, later(now, LOOK_AGAIN_S))
 
     def store_some(self, work: Work, complete: bool) -> None:
         """Store finished tasks of the job; `complete`: all of them are."""
@@ -75,6 +103,8 @@
                 work.retry_at = Instant(self.context.now + RETRY_REJECTED_S)
             else:
                 work.retry_at = Instant(self.context.now + RETRY_STORE_S)
+            if self._unstored.get(job.uid) is work:
+                self._schedule(work)
 
         self.store.commit(when, then, done)
 
--- a/runcourse/core/hiring.py
+++ b/runcourse/core/hiring.py
@@ -3,13 +3,14 @@
 from __future__ import annotations
 
 import math
+from collections import Counter
 from typing import NamedTuple
 
+from .adoption import Adoption, FoundMachine
 from .boots import Boots
 from .context import Context
 from .demand import Demand, Place, serves
 from .ids import START, Instant, MachineId, ShareNo, later
-from .inventory import Inventory
 from .leadership import Leadership
 from .machines import Fleet
 from .placement import fits_times
@@ -43,11 +44,12 @@
 
 def _in_turn(shares: list[ShareNo]) -> list[ShareNo]:
     """The same shares, dealt so that any beginning of the list holds some of each."""
-    seen: dict[ShareNo, int] = {}
+    number = Counter(shares)
+    seen: Counter[ShareNo] = Counter()
     ranked = []
     for share in shares:
-        seen[share] = seen.get(share, 0) + 1
-        ranked.append((seen[share] / shares.count(share), share))
+        seen[share] += 1
+        ranked.append((seen[share] / number[share], share))
     return [share for _, share in sorted(ranked)]
 
 
@@ -60,14 +62,14 @@
         store: Store,
         leadership: Leadership,
         fleet: Fleet,
-        inventory: Inventory,
+        adoption: Adoption,
         boots: Boots,
     ) -> None:
         self.context = context
         self.store = store
         self.leadership = leadership
         self.fleet = fleet
-        self.inventory = inventory
+        self.adoption = adoption
         self.boots = boots
         self.refused: dict[Place, tuple[float, Instant]] = {}  # how long, and until when
         self._hires = 0
@@ -140,16 +142,13 @@
 
     def _by_place(self, wanted: dict[_Wish, float]) -> dict[Place, list[ShareNo]]:
         """Where to hire, and for which shares, a share for each machine."""
-        counts: dict[tuple[ShareNo, str, bool], int] = {}
-        for record in self.fleet.records.values():
-            there = (record.share, record.zone, record.spot)
-            counts[there] = counts.get(there, 0) + 1
+        counts = self.fleet.groups.by_zone()
         hires: dict[Place, list[ShareNo]] = {}
         for (share, name, spot, zones), machines in sorted(wanted.items()):
             for _ in range(math.ceil(machines - 1e-6)):
                 # Zones evenly within the share: its replicas want to be apart.
-                zone = min(zones, key=lambda z: (counts.get((share, z, spot), 0), z))
-                counts[share, zone, spot] = counts.get((share, zone, spot), 0) + 1
+                zone = min(zones, key=lambda z: (counts[share, z, spot], z))
+                counts[share, zone, spot] += 1
                 hires.setdefault((name, zone, spot), []).append(share)
         return hires
 
@@ -157,13 +156,13 @@
         self, share: ShareNo, need: Demand, options: list[HireOption]
     ) -> list[HireOption]:
         """A whole gang's machines are hired where it lacks least, then where the share has few."""
-        counts: dict[str, int] = {}
-        for record in self.fleet.records.values():
-            if record.share == share:
-                counts[record.zone] = counts.get(record.zone, 0) + 1
+        counts: Counter[str] = Counter()
+        for group, number in self.fleet.groups.counts().items():
+            if group.share == share:
+                counts[group.zone] += number
         zone = min(
             {o.zone for o in options},
-            key=lambda z: (need.lacks.get(z, need.hire), counts.get(z, 0), z),
+            key=lambda z: (need.lacks.get(z, need.hire), counts[z], z),
         )
         need.count = need.lacks.get(zone, need.hire)
         return [o for o in options if o.zone == zone]
@@ -192,9 +191,9 @@
                 self.refused.pop(place, None)
             if self.leadership.leading:
                 self.boots.hired(ids, Instant(outcome.began))
-                self.inventory.adopt(
+                self.adoption.adopt(
                     [
-                        (id, rent.type, rent.zone, rent.spot, share)
+                        FoundMachine(id, rent.type, rent.zone, rent.spot, share)
                         for id, share in zip(ids, shares, strict=False)
                     ]
                 )
--- a/runcourse/core/ids.py
+++ b/runcourse/core/ids.py
@@ -47,13 +47,25 @@
 
 
 def make_token(epoch: Stamp, counter: int) -> Token:
-    """A later epoch always outranks an earlier one, whatever its counter."""
-    return Token((epoch << COUNTER_BITS) | counter)
+    """A later epoch outranks an earlier one, see `highest_epoch`."""
+    return Token((epoch << COUNTER_BITS) + counter)
 
 
 def make_attempt(epoch: Stamp, counter: int) -> Attempt:
     """Unique and rising with nothing stored: the epoch comes from the state service."""
-    return Attempt((epoch << COUNTER_BITS) | counter)
+    return Attempt((epoch << COUNTER_BITS) + counter)
+
+
+def highest_epoch(epoch: Stamp, counter: int) -> Stamp:
+    """The epoch that a counter reaches into. A counter beyond its bits is carried into the
+    epoch; numbers stay unique and ordered as long as this is a revision that exists already,
+    since whoever owns the share or machine next gets a later one."""
+    return Stamp(epoch + (counter >> COUNTER_BITS))
+
+
+def creation_order(machine: MachineId) -> tuple[int, str]:
+    """Sorts machines by age. Names are numbered, and one digit more is a later name."""
+    return len(machine), machine
 
 
 def later(at: Instant, seconds: float) -> Instant:
--- a/runcourse/core/inventory.py
+++ b/runcourse/core/inventory.py
@@ -3,15 +3,25 @@
 
 from __future__ import annotations
 
+import heapq
+import math
 from collections.abc import Callable
 
 from ..wire.peer_messages import UnknownMachine
+from .adoption import Adoption, FoundMachine, halves
 from .context import Context
-from .demand import LoadReport
-from .ids import ABSENT, LONG_AGO, Instant, MachineId, Member, ShareNo, Stamp, Team
-from .machine import Record
+from .demand import LOAD_VALID_S, LoadReport
+from .fleet_view import FleetView
+from .ids import (
+    LONG_AGO,
+    Instant,
+    MachineId,
+    Member,
+    ShareNo,
+    Stamp,
+    creation_order,
+)
 from .machines import Fleet
-from .shares import Shares
 from .store import CommitResult, Store
 from .stored_values import MACHINE, GoneMachine
 from .types import (
@@ -26,16 +36,13 @@
     Write,
 )
 
-MAX_RELEASE = 100
+MAX_RELEASE = 100  # machines in one request, by the protocol
+LIST_PAGE = 500  # the same, in one page of the list
+LIST_PART = 0.25  # of the cloud's rate, that reading its list takes at the most
+LEAST_LIST_S = 3.0  # between two readings
 REMEMBERED = 4  # ids of returned machines kept in the store, by machine of the largest fleet
 
 
-def halves(ids: list[MachineId]) -> list[list[MachineId]]:
-    """Of a batch that the state service doesn't take; one alone is given up."""
-    middle = len(ids) // 2
-    return [ids[:middle], ids[middle:]] if middle else []
-
-
 class Inventory:
     """The leader's view of what the cloud has given."""
 
@@ -43,27 +50,29 @@
         self,
         context: Context,
         store: Store,
-        shares: Shares,
         fleet: Fleet,
+        adoption: Adoption,
         loads: dict[ShareNo, LoadReport],
+        view: FleetView,
         leading: Callable[[], bool],
         leader: Callable[[], str | None],
         guard: Callable[[], Condition],
     ) -> None:
         self.context = context
         self.store = store
-        self.shares = shares
         self.fleet = fleet
+        self.adoption = adoption
         self.loads = loads
+        self.view = view
         self.leading = leading
         self.leader = leader
         self.guard = guard
         self.largest = 0  # machines there were at once
         self._releasing: set[MachineId] = set()
-        self._released: set[MachineId] = set()
-        self._adopting: dict[MachineId, Record] = {}  # being recorded
         self._listed_now: set[MachineId] = set()  # in the newest list
         self._asking: set[MachineId] = set()  # reported, unknown, and asked themselves
+        # A whole unknown fleet may report at once; whoever is not asked now reports again.
+        self._most_asked = context.platform.settings.quota.sockets(len(context.members)).probes
         self._drop_later: list[MachineId] = []
         self._first_listed: dict[MachineId, Instant] = {}
         self._missing: dict[MachineId, Instant] = {}  # listed once and not any more, since when
@@ -77,17 +86,18 @@
 
     def tick(self) -> None:
         """Read the cloud's list when it is time."""
-        lag = self.context.platform.settings.cloud.list_lag_s
-        if not self._listing and self.context.now >= self._list_at + max(lag / 2, 3.0):
+        if not self._listing and self.context.now >= self._list_at + self._list_every_s():
             self._list()
 
-    def adopting(self) -> list[Record]:
-        """Records that are being stored."""
-        return list(self._adopting.values())
+    def _list_every_s(self) -> float:
+        """A list of many pages is read less often: hires and returns need the cloud's rate too."""
+        cloud = self.context.platform.settings.cloud
+        pages = math.ceil(len(self._listed_now) / LIST_PAGE)
+        return max(cloud.list_lag_s / 2, LEAST_LIST_S, pages / (LIST_PART * cloud.rps))
 
     def tidy(self) -> None:
         """What is in the store as gone need not be kept twice."""
-        self._released -= self.fleet.gone
+        self.adoption.returned -= self.fleet.gone
 
     def _list(self) -> None:
         began = self.context.now
@@ -104,20 +114,20 @@
     def _listed(self, machines: tuple[CloudMachine, ...], began: Instant) -> None:
         lag = self.context.platform.settings.cloud.list_lag_s
         present: set[MachineId] = set()
-        found: list[tuple[MachineId, str, str, bool, ShareNo | None]] = []
+        found: list[FoundMachine] = []
         failed: list[MachineId] = []
         for m in machines:
             present.add(m.id)
             first = self._first_listed.setdefault(m.id, began)
-            if m.id in self._released or m.id in self.fleet.gone:
+            if m.id in self.adoption.returned or m.id in self.fleet.gone:
                 continue
             self.fleet.learn_addr(m.id, m.addr)
             if m.id not in self.fleet.records:
-                found.append((m.id, m.type, m.zone, m.spot, None))
+                found.append(FoundMachine(m.id, m.type, m.zone, m.spot))
             elif m.stage == "failed" and began >= first:
                 failed.append(m.id)
         self._listed_now = present
-        self.adopt(found)
+        self.adoption.adopt(found)
         for n in range(0, len(failed), MAX_RELEASE):
             self._release(failed[n : n + MAX_RELEASE])
         # Once listed, a machine stays listed until it is gone; but a list may be older than
@@ -130,7 +140,7 @@
                 # Should lists be older still than they may be: one alone proves nothing, and
                 # no list makes a machine gone that was heard since it may have been made.
                 missing = self._missing.setdefault(id, began)
-                if began < missing + lag or self._heard_since(id, missing):
+                if began < missing + lag or self._may_live(id, missing):
                     continue
                 del self._first_listed[id]
                 del self._missing[id]
@@ -139,16 +149,17 @@
                     gone.append(id)
         self._drop_records(gone)
 
-    def _heard_since(self, id: MachineId, at: Instant) -> bool:
-        record = self.fleet.records.get(id)
-        load = self.loads.get(record.share) if record else None
-        info = load.machines.get(str(id)) if load else None
-        return (
-            load is not None
-            and info is not None
-            and info.heard_ago_s >= 0
-            and load.at - info.heard_ago_s > at
-        )
+    def _may_live(self, id: MachineId, missing: Instant) -> bool:
+        """Does its owner's word speak against its being gone since then?"""
+        sighting = self.view.sighting(id)
+        if sighting is None:
+            return False
+        if sighting.load.heard_ago_s >= 0 and sighting.at - sighting.load.heard_ago_s > missing:
+            return True
+        # Owners tell of their machines in turn: an older word is followed by a newer one.
+        load = self.loads.get(self.fleet.records[id].share) if id in self.fleet.records else None
+        owner_speaks = load is not None and self.context.now < load.at + LOAD_VALID_S
+        return owner_speaks and sighting.at <= missing
 
     def _drop_records(self, ids: list[MachineId]) -> None:
         """Machines that are surely gone. Their ids stay in the store: late copies of their
@@ -156,16 +167,24 @@
         if not self.leading():
             return
         ids = [id for id in ids if id in self.fleet.records]
-        self._released.update(ids)
+        self.adoption.returned.update(ids)
         size = max(1, self.context.limits.txn_ops)
         for n in range(0, len(ids), size):
             self._drop_batch(ids[n : n + size])
+        self._forget_gone(len(ids))
+
+    def _forget_gone(self, added: int) -> None:
+        """Keep the ids of returned machines bounded: forget more of them than were added."""
         surplus = len(self.fleet.gone) - REMEMBERED * max(self.largest, 250)
-        if surplus > 0:
-            oldest = sorted(self.fleet.gone)[: min(surplus, size)]
+        if surplus <= 0:
+            return
+        size = max(1, self.context.limits.txn_ops)
+        number = min(surplus, size + 2 * added)
+        oldest = heapq.nsmallest(number, self.fleet.gone, key=creation_order)
+        for n in range(0, len(oldest), size):
             self.store.commit(
                 [self.guard()],
-                [Write(MACHINE + id, None) for id in oldest],
+                [Write(MACHINE + id, None) for id in oldest[n : n + size]],
                 lambda result, stamp: None,
                 Store.LATER,
             )
@@ -213,111 +232,26 @@
     def _check_unknown(self, id: MachineId, addr: str, type_: str, zone: str, spot: bool) -> None:
         """A report is no proof that its machine exists: the cloud's list is, or the worker
         itself, asked now."""
-        if id in self.fleet.gone or id in self._released or id in self.fleet.records:
+        if id in self.fleet.gone or id in self.adoption.returned or id in self.fleet.records:
             return
         if id in self._listed_now:
-            self.adopt([(id, type_, zone, spot, None)])
-        elif id not in self._asking and addr:
+            self.adoption.adopt([FoundMachine(id, type_, zone, spot)])
+        elif id not in self._asking and addr and len(self._asking) < self._most_asked:
             self._asking.add(id)
 
             def done(outcome: Outcome) -> None:
                 self._asking.discard(id)
                 live = outcome.body
                 if isinstance(live, Report) and live.machine == id and self.leading():
-                    self.adopt([(id, live.type, live.zone, live.spot, None)])
+                    self.adoption.adopt([FoundMachine(id, live.type, live.zone, live.spot)])
 
             self.context.emit(Probe(done, addr))
 
-    def adopt(self, found: list[tuple[MachineId, str, str, bool, ShareNo | None]]) -> None:
-        """Record machines, for the share named or the one that has least; as many at once as
-        a transaction takes."""
-        batch: list[MachineId] = []
-        counts: tuple[dict[ShareNo, float], dict[tuple[ShareNo, str], int]] | None = None
-        for id, type_, zone, spot, share in found:
-            if (
-                id in self._adopting
-                or id in self.fleet.records
-                or id in self._released
-                or id in self.fleet.gone
-                or type_ not in self.fleet.types
-            ):
-                continue
-            if share is None:
-                counts = counts or self.counts()
-                share = self._poorest(type_, *counts)
-                counts[0][share] += self.fleet.types[type_].cpus
-                counts[1][share, type_] = counts[1].get((share, type_), 0) + 1
-            self._adopting[id] = Record(share, type_, zone, spot, False, ABSENT)
-            batch.append(id)
-        size = max(1, self.context.limits.txn_ops)
-        for n in range(0, len(batch), size):
-            self._record(batch[n : n + size])
-
-    def _record(self, ids: list[MachineId]) -> None:
-        def done(result: CommitResult, stamp: Stamp) -> None:
-            if result is CommitResult.REJECTED and len(ids) > 1:
-                for part in halves(ids):
-                    self._record(part)
-                return
-            for id in ids:
-                record = self._adopting.pop(id, None)
-                # One of them has a record already: the others one by one.
-                if (
-                    result is CommitResult.CONFLICT
-                    and len(ids) > 1
-                    and record is not None
-                    and id not in self.fleet.records
-                    and id not in self.fleet.gone
-                ):
-                    self._adopting[id] = record
-                    self._record([id])
-
-        self.store.commit(
-            [self.guard(), *(Condition(MACHINE + id, ABSENT) for id in ids)],
-            [Write(MACHINE + id, self._adopting[id].value()) for id in ids],
-            done,
-            Store.OWNER,
-        )
-
-    def _wanted(self, share: ShareNo) -> float:
-        """What a share should hold of the fleet, in CPUs: its waiting and running requests,
-        and before there are any, as its teams are many."""
-        teams = sum(
-            1
-            for team in self.context.platform.settings.teams
-            if self.shares.of_team(Team(team.name)) == share
-        )
-        load = self.loads.get(share)
-        waiting = sum(n.size.cpus * n.count for n in load.demands) if load else 0.0
-        return max(teams, 0.5) + (load.used if load else 0.0) + waiting
-
-    def counts(self) -> tuple[dict[ShareNo, float], dict[tuple[ShareNo, str], int]]:
-        """CPUs of each share, and machines by share and type. Those on their way into the
-        records count too, or a whole list goes to one share."""
-        cpus = dict.fromkeys(self.shares.all(), 0.0)
-        same: dict[tuple[ShareNo, str], int] = {}
-        for record in (*self.fleet.records.values(), *self._adopting.values()):
-            if not record.leaving and record.type in self.fleet.types:
-                cpus[record.share] += self.fleet.types[record.type].cpus
-                key = (record.share, record.type)
-                same[key] = same.get(key, 0) + 1
-        return cpus, same
-
-    def _poorest(
-        self, type_: str, cpus: dict[ShareNo, float], same: dict[tuple[ShareNo, str], int]
-    ) -> ShareNo:
-        """The share that a machine without one goes to: least for what it wants."""
-        return min(
-            self.shares.all(), key=lambda s: (cpus[s] / self._wanted(s), same.get((s, type_), 0), s)
-        )
-
     def release_leaving(self) -> None:
         """Return the machines that are marked as leaving."""
         later, self._drop_later = self._drop_later, []
         self._drop_records(later)
-        leaving = [
-            id for id, r in self.fleet.records.items() if r.leaving and id not in self._releasing
-        ]
+        leaving = [id for id in self.fleet.leaving if id not in self._releasing]
         if leaving:
             self._release(leaving[:MAX_RELEASE])
 
--- a/runcourse/core/jobs.py
+++ b/runcourse/core/jobs.py
@@ -4,6 +4,8 @@
 
 import hashlib
 import re
+from bisect import bisect_right, insort
+from collections import Counter
 from collections.abc import Collection
 
 import msgspec
@@ -122,6 +124,7 @@
     def __init__(self) -> None:
         self._jobs: dict[JobId, Job] = {}
         self._open: dict[JobId, Job] = {}
+        self._open_tasks: Counter[tuple[str, float]] = Counter()  # jobs by team and a task's CPUs
         self._early_pages: dict[JobId, int] = {}
         self._cancelled: list[tuple[Stamp, JobId]] = []
         self._told: dict[JobId, None] = {}  # cancellations that peers know of, not read yet
@@ -146,7 +149,7 @@
             job.add_done(self._early_pages.pop(uid, 0))
             self._jobs[uid] = job
         if value.stage == "cancelled":
-            self._cancelled.append((stamp, uid))
+            insort(self._cancelled, (stamp, uid))  # a first read brings them by name
             self._told.pop(uid, None)
             job.cancelled = stamp
         # A job that is done or cancelled stays so, whatever order news arrives in.
@@ -154,15 +157,17 @@
             # What a peer read before this node read the job at all is not forgotten.
             job.stage = "cancelled" if uid in self._told else value.stage
             if job.final:
-                self._open.pop(uid, None)
-            else:
+                self._close(job)
+            elif uid not in self._open:
                 self._open[uid] = job
+                self._open_tasks[job.spec.team, job.spec.cpus] += 1
         job.stamp = stamp
         return job
 
     def cancelled_since(self, stamp: Stamp) -> list[JobId]:
         """Whose cancellation was stored after that revision, as far as is known here."""
-        return [uid for at, uid in self._cancelled if at > stamp] + list(self._told)
+        first = bisect_right(self._cancelled, stamp, key=lambda entry: entry[0])
+        return [uid for _, uid in self._cancelled[first:]] + list(self._told)
 
     def cancel(self, uid: JobId) -> Job | None:
         """A peer knows of a stored cancellation that no read has brought yet. The job's
@@ -173,9 +178,20 @@
         if job is None or job.final:
             return None
         job.stage = "cancelled"
-        del self._open[uid]
+        self._close(job)
         return job
 
+    def _close(self, job: Job) -> None:
+        if self._open.pop(job.uid, None) is not None:
+            kind = (job.spec.team, job.spec.cpus)
+            self._open_tasks[kind] -= 1
+            if not self._open_tasks[kind]:
+                del self._open_tasks[kind]
+
+    def open_tasks(self) -> Collection[tuple[str, float]]:
+        """Each team with an open job, and the CPUs of one of its tasks, once for each number."""
+        return self._open_tasks.keys()
+
     def apply_page(self, uid: JobId, page: int, value: PageValue, length: int = PAGE_BITS) -> None:
         """Take a page of finished tasks, of `length` tasks each."""
         bits = int(value.bits, 16) << (page * length)
--- a/runcourse/core/machine.py
+++ b/runcourse/core/machine.py
@@ -2,8 +2,9 @@
 
 from __future__ import annotations
 
+import math
 from collections import OrderedDict
-from typing import Any, NamedTuple
+from typing import Any, NamedTuple, Protocol
 
 from .ids import (
     LONG_AGO,
@@ -27,6 +28,32 @@
 Key = tuple[TaskId, Attempt]
 RUNNING = ("running", "saving")
 STOPPING = 1_000  # counted below every rank
+ROOM_SLACK = 1e-9  # rounding left over by sums of sizes
+
+
+class MachineIndex(Protocol):
+    """Where the machines of a share are indexed: each tells it of what changes about it."""
+
+    def room_changed(self, machine: Machine, before: int) -> None:
+        """The machine has another level of room than `before`."""
+
+    def allocated(self, cpus: float, lasting: float) -> None:
+        """More is allocated on a machine, or less; `lasting`: of services."""
+
+    def heard(self, machine: Machine) -> None:
+        """A message of the machine was believed now."""
+
+    def answered(self, machine: Machine) -> None:
+        """The lease of the machine's worker counts from now."""
+
+    def suspect(self, machine: Machine) -> None:
+        """The machine counts as not reached from now on."""
+
+    def unsettle(self, machine: Machine) -> None:
+        """The machine may hold tasks of an earlier owner."""
+
+    def notice(self, machine: Machine) -> None:
+        """The cloud will take the machine away."""
 
 
 class Known(NamedTuple):
@@ -104,10 +131,19 @@
         return self.stage != "ended"
 
 
+def room_level(cpus: float) -> int:
+    """The level at which a machine with so many free CPUs is indexed, rounding left aside."""
+    return math.floor(cpus + ROOM_SLACK)
+
+
 class Machine:
     """One machine owned here, and what is known of its worker."""
 
     __slots__ = (
+        "_heard",
+        "_last_answer",
+        "_notice_until",
+        "_settled",
         "added",
         "addr",
         "asked_at",
@@ -122,14 +158,13 @@
         "expired_session",
         "fetches",
         "full_until",
-        "heard",
         "id",
         "images",
-        "last_answer",
+        "index",
         "lasting",
         "moving",
-        "notice_until",
         "placements",
+        "position",
         "probing",
         "quarantined_until",
         "ranks",
@@ -138,9 +173,9 @@
         "report_number",
         "reservations",
         "room",
+        "room_level",
         "seq",
         "session",
-        "settled",
         "share",
         "suspect_token",
         "suspected_at",
@@ -152,6 +187,8 @@
 
     def __init__(self, id: MachineId, record: Record, holding: Holding, now: Instant) -> None:
         self.id = id
+        self.index: MachineIndex | None = None  # of its share
+        self.position = 0  # in the order in which machines came to the share
         self.record = record
         self.share = holding
         self.type: MachineType | None = None
@@ -167,16 +204,17 @@
         self.counter = 0
         # A machine recorded after the takeover can't hold tasks of an earlier owner: it was
         # new, or moved while empty.
-        self.settled = record.stamp > holding.epoch
+        self._settled = record.stamp > holding.epoch
         self.expired_session = Session(0)
-        self.last_answer = now if self.settled else holding.since
-        self.heard = LONG_AGO
+        self._last_answer = now if self._settled else holding.since
+        self._heard = LONG_AGO
         self.up_since = Instant(0.0)
-        self.notice_until: Instant | None = None
+        self._notice_until: Instant | None = None
         self.placements: dict[Key, Placement] = {}
         self.used = NOTHING
         self.reservations: dict[TaskId, Size] = {}  # room kept for tasks that are being moved
         self.room = NOTHING
+        self.room_level = 0
         self.ranks: dict[int, float] = {}  # CPUs of what is on it, by rank
         self.fetches: dict[str, float] | None = None  # images under way; None: to be counted
         self.images: OrderedDict[str, float] = OrderedDict()
@@ -197,6 +235,50 @@
         self.lasting = 0.0  # CPUs of services placed on it
         self.moving = False  # a change of its record is under way: nothing new goes there
 
+    @property
+    def settled(self) -> bool:
+        """Is it certain that no task of an earlier owner is hidden there?"""
+        return self._settled
+
+    @settled.setter
+    def settled(self, settled: bool) -> None:
+        self._settled = settled
+        if not settled and self.index is not None:
+            self.index.unsettle(self)
+
+    @property
+    def heard(self) -> Instant:
+        """When a message of it was last believed."""
+        return self._heard
+
+    @heard.setter
+    def heard(self, at: Instant) -> None:
+        self._heard = at
+        if self.index is not None:
+            self.index.heard(self)
+
+    @property
+    def last_answer(self) -> Instant:
+        """Since when its worker's lease counts at the latest."""
+        return self._last_answer
+
+    @last_answer.setter
+    def last_answer(self, at: Instant) -> None:
+        self._last_answer = at
+        if self.index is not None:
+            self.index.answered(self)
+
+    @property
+    def notice_until(self) -> Instant | None:
+        """When the cloud will take it away; None: no notice."""
+        return self._notice_until
+
+    @notice_until.setter
+    def notice_until(self, at: Instant | None) -> None:
+        self._notice_until = at
+        if at is not None and self.index is not None:
+            self.index.notice(self)
+
     @property
     def token(self) -> Token:
         """The fencing token of the next command."""
@@ -214,10 +296,27 @@
 
     def use(self, used: Size) -> None:
         """Set what is allocated on it."""
+        if self.index is not None:
+            self.index.allocated(used.cpus - self.used.cpus, 0.0)
         self.used = used
         self.room = self.type.size.minus(used) if self.type else NOTHING
         for size in self.reservations.values():
             self.room = self.room.minus(size)
+        before, self.room_level = self.room_level, room_level(self.room.cpus)
+        if self.index is not None and self.room_level != before:
+            self.index.room_changed(self, before)
+
+    def add_lasting(self, cpus: float) -> None:
+        """A service takes so many CPUs more, or fewer."""
+        self.lasting += cpus
+        if self.index is not None:
+            self.index.allocated(0.0, cpus)
+
+    def emptied(self) -> None:
+        """Nothing is placed on it any more: no rounding is left over."""
+        self.use(NOTHING)
+        self.ranks.clear()
+        self.add_lasting(-self.lasting)
 
     def reserve(self, task: TaskId, size: Size) -> None:
         """Keep room for a task that is being moved here."""
@@ -249,6 +348,8 @@
         if not self.suspected:
             self.suspected_at = now
         self.suspect_token = self.raise_fence()
+        if self.index is not None:
+            self.index.suspect(self)
 
     def count_rank(self, placement: Placement, sign: int) -> None:
         """Count the placement's CPUs by rank; `sign`: 1 to add, -1 to take away."""
--- a/runcourse/core/machines.py
+++ b/runcourse/core/machines.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from typing import Any
 
 import msgspec
@@ -17,8 +18,10 @@
 )
 from .jobs import Jobs
 from .machine import Known, Machine, Record
+from .machine_groups import MachineGroups
 from .placements import PlacementObserver, PlacementTable
 from .reports import REPORT_TIMEOUT_S, ReportIntake
+from .share_machines import ShareMachines
 from .shares import Holding, Shares
 from .store import Store
 from .stored_values import CATALOG, MACHINE, TYPES, GoneMachine
@@ -29,6 +32,13 @@
 MOST_LISTED = 400  # tasks, ended ones too: a report must stay far below the protocol's 64 KiB
 
 
+RecordWatcher = Callable[[MachineId, Record | None, Record | None], None]  # before and after
+
+
+def _watch_nothing(id: MachineId, before: Record | None, record: Record | None) -> None:
+    """For who does not plan for the fleet."""
+
+
 class Fleet:
     """The machines owned here, with what is placed on them and what their workers are told."""
 
@@ -46,11 +56,15 @@
         self.jobs = jobs
         self.observer = observer
         self.records: dict[MachineId, Record] = {}
+        self.groups = MachineGroups()  # of all that is recorded
+        self.leaving: dict[MachineId, None] = {}  # recorded as about to be returned
+        self.watch_record: RecordWatcher = _watch_nothing  # set by who plans for the fleet
         self.machines: dict[MachineId, Machine] = {}
         self.types: dict[str, MachineType] = {}
         self.gone: set[MachineId] = set()  # returned or vanished: their ids never come again
         self.addrs: dict[MachineId, str] = {}
-        self._of_share: dict[ShareNo, dict[MachineId, Machine]] = {}
+        self._of_share: dict[ShareNo, ShareMachines] = {}
+        self._type_pages: dict[str, list[Any]] = {}
         self._looked_at = LONG_AGO
         self._given: dict[MachineId, tuple[Instant, TransferredState]] = {}
         self.commands = WorkerCommands(context, shares, jobs, self.machines, self._apply)
@@ -64,9 +78,11 @@
         store.listen(TYPES, self._catalog_changed)
 
     def _catalog_changed(self, key: str, value: Any, stamp: Stamp) -> None:
-        rows = [
-            row for page in (CATALOG, *self.store.keys(TYPES)) for row in self.store.get(page) or ()
-        ]
+        if value is None:
+            self._type_pages.pop(key, None)
+        else:
+            self._type_pages[key] = value
+        rows = [row for page in sorted(self._type_pages) for row in self._type_pages[page]]
         self.types = {t[0]: msgspec.convert(t, MachineType) for t in rows}
         for machine in self.machines.values():
             machine.set_type(self.types.get(machine.record.type))
@@ -74,13 +90,14 @@
 
     def _record_changed(self, key: str, value: Any, stamp: Stamp) -> None:
         id = MachineId(key[len(MACHINE) :])
+        before = self.records.get(id)
         if value is None or isinstance(value, GoneMachine):
             # A late copy of a report must not bring back what was returned.
             if value is None:
                 self.gone.discard(id)
             else:
                 self.gone.add(id)
-            self.records.pop(id, None)
+            self._record(id, before, None)
             self.addrs.pop(id, None)
             self._drop(id, "released")
             return
@@ -92,7 +109,7 @@
             value.leaving,
             stamp,
         )
-        self.records[id] = record
+        self._record(id, before, record)
         machine = self.machines.get(id)
         holding = self.shares.owned.get(record.share)
         if machine is not None and holding is machine.share:
@@ -103,12 +120,25 @@
         if machine is None and holding is not None:
             self._add(id, record, holding)
 
+    def _record(self, id: MachineId, before: Record | None, record: Record | None) -> None:
+        """Keep the record, and all that is counted over records."""
+        if before is not None:
+            self.groups.remove(before)
+            self.leaving.pop(id, None)
+            del self.records[id]
+        if record is not None:
+            self.groups.add(record)
+            self.records[id] = record
+            if record.leaving:
+                self.leaving[id] = None
+        self.watch_record(id, before, record)
+
     def _add(self, id: MachineId, record: Record, holding: Holding) -> None:
         machine = Machine(id, record, holding, self.context.now)
         machine.set_type(self.types.get(record.type))
         machine.addr = self.addrs.get(id, "")
         self.machines[id] = machine
-        self._of_share.setdefault(record.share, {})[id] = machine
+        self.of_share(record.share).add(machine)
         self._take_over_state(machine)
 
     def _apply(self, report: Report, since: Known) -> bool:
@@ -155,7 +185,7 @@
     def _drop(self, id: MachineId, why: str) -> None:
         machine = self.machines.pop(id, None)
         if machine is not None:
-            del self._of_share[machine.share.number][id]
+            self.of_share(machine.share.number).remove(machine)
             for placement in list(machine.placements.values()):
                 self.placements.remove(placement, why)
             self.observer.changed()
@@ -171,9 +201,12 @@
         for machine in list(self.of_share(share)):
             self._drop(machine.id, "share lost")
 
-    def of_share(self, share: ShareNo) -> list[Machine]:
+    def of_share(self, share: ShareNo) -> ShareMachines:
         """The machines of a share owned here."""
-        return list(self._of_share.get(share, {}).values())
+        machines = self._of_share.get(share)
+        if machines is None:
+            machines = self._of_share[share] = ShareMachines()
+        return machines
 
     # --- time ----------------------------------------------------------------------------
 
@@ -184,17 +217,15 @@
         if now >= self._looked_at + LOOK_EVERY_S:
             self._looked_at = now
             oldest = now - self.context.lease_s
-            for machine in self.machines.values():
+            for number in list(self.shares.owned):
                 # Without authority nothing is sure: another may have answered it meanwhile, as
                 # when this process stood still.
-                if (
-                    machine.last_answer < oldest
-                    and (machine.placements or not machine.settled)
-                    and self.shares.may_command(machine.share.number)
-                ):
-                    self._expire(machine)
+                if self.shares.may_command(number):
+                    for machine in self.of_share(number).not_answered_since(oldest):
+                        if machine.placements or not machine.settled:
+                            self._expire(machine)
         for holding in self.shares.owned.values():
-            if not holding.settled and all(m.settled for m in self.of_share(holding.number)):
+            if not holding.settled and not self.of_share(holding.number).unsettled():
                 holding.settled = True
                 self.context.log(
                     "info", f"share {holding.number} settled after {now - holding.since:.2f} s"
@@ -243,17 +274,19 @@
         """Machines of the shares owned here whose reports are overdue."""
         limit = 1.25 * self.context.platform.settings.workers.report_s + 1.5
         return [
-            m.id
-            for m in self.machines.values()
-            if self.context.now - max(m.heard, m.share.since, m.added) > limit
+            machine.id
+            for number in self.shares.owned
+            for machine in self.of_share(number).not_heard_since(self.context.now - limit)
         ]
 
     def all_heard(self, share: ShareNo) -> bool:
         """Are all machines of the share that ever came up heard, and reached?"""
         limit = 1.25 * self.context.platform.settings.workers.report_s + 1.5
-        return all(
-            m.heard < 0 or (self.silent_s(m) <= limit and not m.suspected)
-            for m in self.of_share(share)
+        machines = self.of_share(share)
+        return not any(
+            m.heard >= 0
+            for found in (machines.suspected(), machines.not_heard_since(self.context.now - limit))
+            for m in found
         )
 
     def usable(self, machine: Machine) -> bool:
--- a/runcourse/core/node.py
+++ b/runcourse/core/node.py
@@ -111,7 +111,6 @@
         self.store.listen(PART, self._part_changed)
         self.store.listen(LEADER, lambda key, value, stamp: None)
         self._peer_contact: dict[Member, tuple[Instant, bool]] = {}
-        self._peer_running: dict[Member, dict[JobId, int]] = {}
         self._gossip_at = LONG_AGO
         self._silent: dict[Member, set[str]] = {}  # machines that an owner does not hear
         self._redirected: dict[MachineId, Instant] = {}
@@ -173,17 +172,11 @@
         now = self.context.now
         if now >= self._gossip_at + GOSSIP_EVERY_S:
             self._gossip_at = now
-            self.context.emit(
-                SendToPeer(
-                    None,
-                    Heartbeat(
-                        self._contact(),
-                        self.fleet.placements.running_counts(),
-                        self.fleet.silent(),
-                        self.store.applied,
-                    ),
-                )
+            begins, running = self.fleet.placements.running_pages.next()
+            heartbeat = Heartbeat(
+                self._contact(), running, self.fleet.silent(), self.store.applied, begins
             )
+            self.context.emit(SendToPeer(None, heartbeat))
             for seen in (self._redirected, self._relaying):
                 for id in [id for id in seen if id not in self.fleet.records]:
                     del seen[id]
@@ -377,12 +370,9 @@
 
     def _heartbeat(self, member: Member, message: Heartbeat) -> None:
         self._peer_contact[member] = (self.context.now, message.contact)
-        self._peer_running[member] = message.running
+        self.users.running.record(member, message.begins, message.running)
         self._silent[member] = set(message.silent)
         self.confirmations.record_heartbeat(member, message.applied)
-        self.users.running = {
-            uid: n for counts in self._peer_running.values() for uid, n in counts.items()
-        }
 
     def _relayed(self, message: RelayedResponse) -> None:
         """The owner's response to a report that was passed on: the worker gets it."""
--- a/runcourse/core/placements.py
+++ b/runcourse/core/placements.py
@@ -16,7 +16,7 @@
 from .ids import Attempt, JobId, MachineId, TaskId
 from .jobs import Job
 from .machine import RUNNING, Machine, Placement
-from .placement import NOTHING
+from .running_counts import RunningPages
 from .types import TaskReport
 
 
@@ -54,6 +54,8 @@
         self.by_task: dict[TaskId, list[Placement]] = {}  # active ones
         self._by_job: dict[JobId, dict[Placement, None]] = {}  # active ones
         self._running: dict[JobId, int] = {}
+        self._running_changed: dict[JobId, None] = {}
+        self.running_pages = RunningPages(self._running, self._running_changed)
 
     # --- lookups -------------------------------------------------------------------------
 
@@ -61,10 +63,6 @@
         """How many tasks of the job run."""
         return self._running.get(uid, 0)
 
-    def running_counts(self) -> dict[JobId, int]:
-        """How many tasks run, by job."""
-        return dict(self._running)
-
     def of_job(self, uid: JobId) -> list[Placement]:
         """Its active placements."""
         return list(self._by_job.get(uid, ()))
@@ -94,7 +92,7 @@
         if placement.stage in RUNNING:
             self._count_running(placement.task.job, 1)
         if placement.job is not None and placement.job.spec.service:
-            placement.machine.lasting += placement.size.cpus
+            placement.machine.add_lasting(placement.size.cpus)
         self.by_task.setdefault(placement.task, []).append(placement)
         self.observer.placed(placement)
 
@@ -109,7 +107,7 @@
         if stage in RUNNING:
             self._count_running(placement.task.job, -1)
         if placement.job is not None and placement.job.spec.service:
-            placement.machine.lasting -= placement.size.cpus
+            placement.machine.add_lasting(-placement.size.cpus)
         others = self.by_task[placement.task]
         others.remove(placement)
         if not others:
@@ -117,6 +115,7 @@
         self.observer.unplaced(placement)
 
     def _count_running(self, job: JobId, by: int) -> None:
+        self._running_changed[job] = None
         self._running[job] = self._running.get(job, 0) + by
         if not self._running[job]:
             del self._running[job]
@@ -130,9 +129,7 @@
             placement.stage, placement.stage_before = "ended", stage
             self._deactivate(placement, stage)
         if not machine.placements:
-            machine.use(NOTHING)  # no rounding left over
-            machine.ranks.clear()
-            machine.lasting = 0.0
+            machine.emptied()
             machine.empty_since = self.context.now
         if active:
             self.observer.gone(placement, why)
--- a/runcourse/core/rental.py
+++ b/runcourse/core/rental.py
@@ -5,14 +5,16 @@
 import math
 
 from ..wire.peer_messages import ReturnMachine, ShareLoad
+from .adoption import Adoption
 from .authority import Authority
 from .balance import Balance
 from .boots import Boots
 from .catalogue import Catalogue
 from .context import Context
-from .demand import Demand, LoadReport, Place, serves, share_load
+from .demand import LOAD_VALID_S, Demand, LoadPages, LoadReport, Place, serves, share_load
+from .fleet_view import FleetView
 from .hiring import Hiring
-from .ids import LONG_AGO, Instant, MachineId, Member, ShareNo, Stamp
+from .ids import LONG_AGO, Instant, MachineId, Member, ShareNo
 from .inventory import Inventory
 from .leadership import Leadership
 from .machine import Record
@@ -20,16 +22,15 @@
 from .placement import fits_times
 from .scheduler import Scheduler
 from .shares import Shares
-from .spare_capacity import IdleMachine, IdleMachines, SpareCapacity
+from .spare_capacity import SpareCapacity
 from .store import Store
 from .transfers import MachineTransfers
 from .types import MachineType, SendToPeer
-from .versions import Versions
+from .versions import LOADS_IN_PAGES, Versions
 
 LOAD_EVERY_S = 0.25
 PLAN_EVERY_S = 0.5
 TIDY_EVERY_S = 30.0
-LOAD_VALID_S = 5.0  # for which an owner's word on its share counts
 NEVER_UP_PAUSE_S = 10.0  # a place is left alone whose machine did not come up
 RETURN_AGAIN_S = 3.0  # between two requests to return the same machine
 
@@ -57,25 +58,38 @@
         self.loads: dict[ShareNo, LoadReport] = {}
         self.leadership = Leadership(context, store, authority)
         self.catalogue = Catalogue(context, store, self.leadership, fleet, versions)
-        self.inventory = Inventory(
+        self.boots = Boots(context, fleet)
+        self.view = FleetView(context, fleet, self.boots)
+        fleet.watch_record = self.view.record_changed
+        self.adoption = Adoption(
             context,
             store,
             shares,
             fleet,
             self.loads,
             lambda: self.leadership.leading,
+            self.leadership.guard,
+        )
+        self.inventory = Inventory(
+            context,
+            store,
+            fleet,
+            self.adoption,
+            self.loads,
+            self.view,
+            lambda: self.leadership.leading,
             self.leadership.leader,
             self.leadership.guard,
         )
-        self.boots = Boots(context, fleet)
-        self.hiring = Hiring(context, store, self.leadership, fleet, self.inventory, self.boots)
+        self.hiring = Hiring(context, store, self.leadership, fleet, self.adoption, self.boots)
         self.transfers = MachineTransfers(context, store, shares, fleet, scheduler)
         self.balance = Balance(context, shares, fleet, self.loads, self.transfers)
         self.spare = SpareCapacity(context, shares, fleet, self.loads, self.transfers)
+        self.versions = versions
+        self._pages: dict[ShareNo, LoadPages] = {}  # of the shares owned here
         self._plan_at = LONG_AGO
         self._load_at = LONG_AGO
         self._tidied_at = context.now
-        self._recorded_at: dict[MachineId, tuple[Stamp, Instant]] = {}
         self._led_since: Instant | None = None
 
     # --- time ----------------------------------------------------------------------------
@@ -92,6 +106,7 @@
         self.leadership.claim()
         if not self.leadership.leading:
             self._led_since = None
+            self.view.end()
             return
         if self._led_since is None:
             self._begin()
@@ -107,16 +122,21 @@
         self._led_since = self.context.now
         self.spare.begin()
         self.inventory.begin()
-        self._recorded_at.clear()
         self.boots.clear()
+        self.view.begin()
         self.context.log("info", "leading")
 
     # --- what owners tell the leader -----------------------------------------------------
 
     def _tell_load(self) -> None:
         leader = self.leadership.leader()
-        for share in self.shares.owned:
-            message = share_load(self.context, share, self.fleet, self.scheduler)
+        pages = self._pages = {
+            s: self._pages.get(s) or LoadPages(self.fleet, s) for s in self.shares.owned
+        }
+        whole = leader is not None and not self.versions.reads(Member(leader), LOADS_IN_PAGES)
+        for share, page in pages.items():
+            machines = page.all() if whole else page.next()
+            message = share_load(self.context, share, machines, self.fleet, self.scheduler)
             if self.leadership.leading:
                 self.handle_share_load(message)
             if leader and leader != self.context.me:
@@ -125,22 +145,17 @@
     def handle_share_load(self, message: ShareLoad) -> None:
         """The owner of a share tells of it."""
         self.loads[message.share] = LoadReport(message, self.context.now)
+        self.view.note_load(message)
 
     # --- planning ------------------------------------------------------------------------
 
     def _plan(self) -> None:
         now = self.context.now
         self.inventory.largest = max(self.inventory.largest, len(self.fleet.records))
-        cpus, _ = self.inventory.counts()
-        booting: dict[ShareNo, ExpectedMachines] = {s: {} for s in self.shares.all()}
-        idle: IdleMachines = {s: [] for s in self.shares.all()}
-        for id, record in self.fleet.records.items():
-            type_ = self.fleet.types.get(record.type)
-            if type_ is not None and not record.leaving:
-                self._look_at(id, record, type_, booting, idle)
+        cpus = self.adoption.parts().cpus
+        booting = self._expected()
         self._count_expected(booting)
-        for share in self.shares.all():
-            idle[share].sort(reverse=True)
+        idle = self.view.idle()
         unmet: dict[ShareNo, list[Demand]] = {}
         for share in self.shares.all():
             load = self.loads.get(share)
@@ -153,33 +168,23 @@
         self._tidy()
         self.spare.keep(idle, cpus)
 
-    def _look_at(
-        self,
-        id: MachineId,
-        record: Record,
-        type_: MachineType,
-        booting: dict[ShareNo, ExpectedMachines],
-        idle: IdleMachines,
-    ) -> None:
-        """Is the machine on its way, late, or empty?"""
+    def _expected(self) -> dict[ShareNo, ExpectedMachines]:
+        """Machines on their way, by share and place; those that never come are given up."""
         now = self.context.now
-        load = self.loads.get(record.share)
-        # A machine that changed shares is new to its owner, not late in coming up.
-        stamp, since = self._recorded_at.get(id, (record.stamp, now))
-        if stamp != record.stamp:
-            since = now
-        self._recorded_at[id] = (record.stamp, since)
-        info = load.machines.get(str(id)) if load else None
-        self.boots.note(id, type_, info is not None and info.heard_ago_s >= 0)
-        if info is None or info.heard_ago_s < 0:
-            if now - since < self.boots.late_after(type_):
+        found: dict[ShareNo, ExpectedMachines] = {s: {} for s in self.shares.all()}
+        for id, expected in list(self.view.expected.items()):
+            record = self.fleet.records[id]
+            type_ = self.fleet.types.get(record.type)
+            if type_ is None:
+                continue
+            waited = now - expected.since
+            if waited < self.boots.late_after(type_):
                 place = (record.type, record.zone, record.spot)
-                there = booting[record.share]
+                there = found[record.share]
                 there[place] = there.get(place, 0.0) + 1.0
-            elif info is not None and now - since >= self.boots.limit(type_):
+            elif expected.told and waited >= self.boots.limit(type_):
                 self._give_up(id, record, type_)
-        elif info.idle_s >= 0:
-            idle[record.share].append(IdleMachine(info.idle_s, id, record))
+        return found
 
     def _give_up(self, id: MachineId, record: Record, type_: MachineType) -> None:
         """It never came up, or much too late: it is returned, and replaced elsewhere."""
@@ -187,16 +192,16 @@
         self.hiring.note_refusal((record.type, record.zone, record.spot), NEVER_UP_PAUSE_S)
         self.transfers.ask_owner(record.share, ReturnMachine(id))
         again = Instant(self.context.now - self.boots.limit(type_) + RETURN_AGAIN_S)
-        self._recorded_at[id] = (record.stamp, again)
+        self.view.expect_again(id, again)
         self.boots.forget(id)
 
     def _count_expected(self, booting: dict[ShareNo, ExpectedMachines]) -> None:
         """What is being hired or recorded counts as on its way, or it would be hired again."""
-        expected = [
-            (record.share, (record.type, record.zone, record.spot))
-            for record in self.inventory.adopting()
-        ]
-        for share, place in (*expected, *self.hiring.pending()):
+        for group, number in self.adoption.adopting().counts().items():
+            there = booting[group.share]
+            place = (group.type, group.zone, group.spot)
+            there[place] = there.get(place, 0.0) + number
+        for share, place in self.hiring.pending():
             booting[share][place] = booting[share].get(place, 0.0) + 1.0
 
     def _tidy(self) -> None:
@@ -205,8 +210,6 @@
         self._tidied_at = self.context.now
         self.inventory.tidy()
         self.boots.tidy()
-        for id in [id for id in self._recorded_at if id not in self.fleet.records]:
-            del self._recorded_at[id]
 
     def _left_over(self, needs: list[Demand], booting: dict[Place, float]) -> list[Demand]:
         """Needs that the machines on their way will not meet, taken by their number: which
--- a/runcourse/core/scheduler.py
+++ b/runcourse/core/scheduler.py
@@ -19,7 +19,7 @@
 from .image_supply import ImageSupply
 from .jobs import Job, Jobs
 from .machine import Machine, Placement
-from .machines import Fleet
+from .machines import MOST_LISTED, Fleet
 from .migrations import Migrations
 from .order import Order
 from .placement import Size
@@ -44,7 +44,6 @@
 LONGEST_GAP_S = 0.25
 TURN_GAP_S = 0.02
 PROBE_AGAIN_S = 1.0
-ROOM_SLACK = 1e-9
 
 
 class Scheduler:
@@ -65,6 +64,8 @@
         self.jobs = jobs
         self.quota = quota
         self.work: dict[JobId, Work] = {}
+        # Work that may have tasks to start, in the order in which it was opened.
+        self._pending: dict[ShareNo, dict[JobId, Work]] = {}
         self.unmet: dict[ShareNo, list[Unmet]] = {}
         self.order = Order(context, quota)
         self._dirty = True
@@ -150,6 +151,7 @@
         for uid in [u for u, w in self.work.items() if w.share == share]:
             del self.work[uid]
             self.finishes.drop(uid)
+        self._pending.pop(share, None)
         self.unmet.pop(share, None)
 
     def _open(self, job: Job, share: ShareNo) -> None:
@@ -162,14 +164,21 @@
             for n, bit in enumerate(done)
             if bit == "0" and job.spec.tasks - 1 - n not in placed
         }
-        self.work[job.uid] = work
+        self.enqueue(work)
         if job.spec.gang:
             for placement in self.fleet.placements.of_job(job.uid):
                 self.gangs.placed(work, placement)
         self._dirty = True
 
+    def enqueue(self, work: Work) -> None:
+        """The job is open in an owned share, and its pending tasks wait to be started."""
+        self.work[work.job.uid] = work
+        self._pending.setdefault(work.share, {})[work.job.uid] = work
+
     def _close(self, job: Job) -> None:
-        self.work.pop(job.uid, None)
+        work = self.work.pop(job.uid, None)
+        if work is not None:
+            self._pending[work.share].pop(job.uid, None)
         self.finishes.drop(job.uid)
         for placement in self.fleet.placements.of_job(job.uid):
             self.fleet.placements.stop(placement)
@@ -237,6 +246,7 @@
             and placement.task not in self.fleet.placements.by_task
         ):
             work.pending[index] = None
+            self._pending[work.share][work.job.uid] = work
             work.tried.add(index)
             if work.job.spec.gang:
                 self.gangs.gone(work, placement, why)
@@ -280,6 +290,9 @@
             self.unmet[holding.number] = []
             return
         self._queued += len(waiting)
+        if not self._has_attempts(holding, waiting):
+            self._dirty = True
+            return
         urgency = {work.job.uid: self.order.urgency(work) for work in waiting}
         waiting.sort(key=lambda work: urgency[work.job.uid])
         turn = self._begin(holding, waiting, mistaken, hidden)
@@ -301,9 +314,7 @@
         waiting: list[Work] = []
         mistaken: list[Work] = []
         hidden = self.unlocated.hiding_places(holding)
-        for work in self.work.values():
-            if not work.pending or work.share != holding.number:
-                continue
+        for work in self._with_pending(holding.number):
             if self.unlocated.may_hide(work.job, holding, hidden):
                 work.wait_reason = "share not settled"
             elif work.mistaken:
@@ -315,6 +326,19 @@
                 waiting.append(work)
         return waiting, mistaken, hidden
 
+    def _with_pending(self, share: ShareNo) -> list[Work]:
+        """Work of the share that has tasks to start; what has none is not looked at again."""
+        pending = self._pending.get(share, {})
+        for uid in [uid for uid, work in pending.items() if not work.pending]:
+            del pending[uid]
+        return list(pending.values())
+
+    def _has_attempts(self, holding: Holding, waiting: list[Work]) -> bool:
+        """False only where millions of tasks would start before anything is stored."""
+        pending = sum(len(work.pending) for work in waiting)
+        most = MOST_LISTED * len(self.fleet.of_share(holding.number))
+        return holding.has_attempts(min(pending, most), self.store.applied)
+
     def _begin(
         self,
         holding: Holding,
@@ -323,7 +347,7 @@
         hidden: list[Machine],
     ) -> Turn:
         machines = self.fleet.of_share(holding.number)
-        self.scoring.begin(machines)
+        self.scoring.begin(machines.lasting_cpus)
 
         @cache
         def usable() -> list[Machine]:
@@ -333,13 +357,7 @@
         least = Size(*map(min, zip(*sizes, strict=True)))
         # Most machines of a busy fleet are full: whether they are usable is asked only when
         # something might be stopped there.
-        roomy = [
-            m
-            for m in machines
-            if m.room.cpus + ROOM_SLACK >= least.cpus
-            and least.fits(m.room)
-            and self.fleet.usable(m)
-        ]
+        roomy = [m for m in machines.with_room(least) if self.fleet.usable(m)]
         return Turn(
             holding,
             usable,
--- a/runcourse/core/scoring.py
+++ b/runcourse/core/scoring.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
-
 from .context import Context
 from .jobs import Job
 from .machine import Machine
@@ -26,9 +24,9 @@
         self.policy = policy or NoPolicy()
         self._lasting = 0.0  # CPUs of services in the share whose turn it is
 
-    def begin(self, machines: Iterable[Machine]) -> None:
-        """A turn over these machines begins."""
-        self._lasting = sum(m.lasting for m in machines)
+    def begin(self, lasting_cpus: float) -> None:
+        """A turn begins over a share whose services take so many CPUs."""
+        self._lasting = lasting_cpus
 
     def score(self, job: Job, machine: Machine, used: Size | None = None) -> float:
         """`used`: its allocations if not those of the ledger, while a set is put together."""
--- a/runcourse/core/shares.py
+++ b/runcourse/core/shares.py
@@ -22,6 +22,7 @@
     ShareNo,
     Stamp,
     Team,
+    highest_epoch,
     make_attempt,
 )
 from .sizes import json_size
@@ -51,6 +52,11 @@
         self._attempts += 1
         return make_attempt(self.epoch, self._attempts)
 
+    def has_attempts(self, count: int, applied: Stamp) -> bool:
+        """Are there attempt numbers for so many starts? Beyond the counter's bits they are
+        carried into the epoch, and must not reach a revision that a later owner may get."""
+        return highest_epoch(self.epoch, self._attempts + count) <= applied
+
 
 class Shares:
     """The table of owners, and this node's part in it."""
--- a/runcourse/core/spare_capacity.py
+++ b/runcourse/core/spare_capacity.py
@@ -3,13 +3,13 @@
 from __future__ import annotations
 
 from collections import deque
-from typing import NamedTuple
 
 from ..wire.peer_messages import DrainMachines, ReturnMachine
 from .context import Context
 from .demand import LoadReport
-from .ids import Instant, MachineId, ShareNo, Team, later
-from .machine import Record
+from .fleet_view import IdleMachines
+from .ids import Instant, ShareNo, Team, later
+from .inventory import MAX_RELEASE
 from .machines import Fleet
 from .shares import Shares
 from .transfers import MachineTransfers
@@ -25,17 +25,6 @@
 DRAIN_PART = 1 / 8  # of the surplus, emptied at once: one by one, a large one would last
 
 
-class IdleMachine(NamedTuple):
-    """A machine on which nothing is placed, and for how long."""
-
-    seconds: float
-    id: MachineId
-    record: Record
-
-
-IdleMachines = dict[ShareNo, list[IdleMachine]]
-
-
 class SpareCapacity:
     """Returns machines that stay empty, and has some emptied when all are in use a little."""
 
@@ -70,7 +59,10 @@
             self._log_sum(idle, capacity, keep)
         largest = self._largest_tasks() if any(idle.values()) else {}
         for share in self.shares.all():
-            for machine in sorted(idle[share], key=lambda i: (i.record.spot, -i.seconds)):
+            asked = 0
+            for machine in sorted(idle.get(share, ()), key=lambda i: (i.record.spot, -i.seconds)):
+                if asked >= MAX_RELEASE:
+                    break  # the cloud takes no more at once; the rest is asked for again
                 type_ = self.fleet.types[machine.record.type]
                 left = cpus[share] - self._used(share) - type_.cpus
                 if (
@@ -80,6 +72,7 @@
                 ):
                     capacity -= type_.cpus
                     cpus[share] -= type_.cpus
+                    asked += 1
                     self.transfers.ask_owner(share, ReturnMachine(machine.id))
         if self.context.now >= self._drain_at and not any(idle.values()):
             self._drain(capacity, keep, cpus)
@@ -105,7 +98,7 @@
         return min(max(LEAST_PAID_S - type_.boot_s, IDLE_BOOT_PART * type_.boot_s), MOST_IDLE_S)
 
     def _log_sum(self, idle: IdleMachines, capacity: float, keep: float) -> None:
-        cheap = sum(r.spot for r in self.fleet.records.values())
+        cheap = sum(n for group, n in self.fleet.groups.counts().items() if group.spot)
         self.context.log(
             "info",
             f"fleet: {len(self.fleet.records)} machines, {cheap} cheap,"
@@ -122,9 +115,9 @@
         """Room that a share with open jobs keeps: without it, the next replica within its
         team's guarantee stops another team's."""
         largest: dict[ShareNo, float] = {}
-        for job in self.fleet.jobs.open_jobs():
-            share = self.shares.of_team(Team(job.spec.team))
-            largest[share] = max(largest.get(share, 0.0), job.size.cpus)
+        for team, cpus in self.fleet.jobs.open_tasks():
+            share = self.shares.of_team(Team(team))
+            largest[share] = max(largest.get(share, 0.0), cpus)
         return largest
 
     def _drain(self, capacity: float, keep: float, cpus: dict[ShareNo, float]) -> None:
--- a/runcourse/core/store.py
+++ b/runcourse/core/store.py
@@ -118,7 +118,7 @@
         self._writes = Bucket(self._share, max(self._share, 4.0))
         self._paused_until = LONG_AGO
         self._raised_at = LONG_AGO
-        self._queued = 0  # changes in the queue
+        self._queued = [0] * (self.LATER + 1)  # changes in the queue, by urgency
 
     # --- copy ----------------------------------------------------------------------------
 
@@ -188,11 +188,11 @@
         if waiting:
             self._queue = [entry for entry in self._queue if entry[2].until >= ALWAYS]
             heapq.heapify(self._queue)
-            for _, _, commit in waiting:
-                self._drop(commit)
+            for urgency, _, commit in waiting:
+                self._drop(urgency, commit)
 
-    def _drop(self, commit: Commit) -> None:
-        self._queued -= len(commit.then)
+    def _drop(self, urgency: int, commit: Commit) -> None:
+        self._queued[urgency] -= len(commit.then)
         commit.tag(Outcome(commit.tag, 0, LATE, sent=False, began=self.context.now))
 
     def _start_read(self) -> None:
@@ -261,8 +261,12 @@
 
     @property
     def backlog(self) -> float:
-        """Seconds that a change asked for now would wait at the least."""
-        return self._queued / self._writes.rate
+        """Seconds that a user's change asked for now would wait at the least."""
+        return sum(self._queued[: self.USER + 1]) / self._writes.rate
+
+    def affordable(self, seconds: float) -> int:
+        """How many changes the write budget of so many seconds pays for."""
+        return max(1, int(seconds * self._writes.rate))
 
     def commit(
         self,
@@ -282,7 +286,7 @@
             lambda outcome: self._answered(change, outcome), change.when, change.then, change.until
         )
         heapq.heappush(self._queue, (change.urgency, next(self._order), commit))
-        self._queued += len(change.then)
+        self._queued[change.urgency] += len(change.then)
         self._flush()
 
     def _answered(self, change: _Change, outcome: Outcome) -> None:
@@ -341,7 +345,7 @@
             urgency, _, commit = self._queue[0]
             if now >= commit.until:
                 heapq.heappop(self._queue)
-                self._drop(commit)
+                self._drop(urgency, commit)
                 continue
             if urgency != self.URGENT:
                 # Reads find out when the service is back. Tries meanwhile would only raise this
@@ -360,5 +364,5 @@
                 self._writes.refill(now)
                 self._writes.level -= len(commit.then)
             heapq.heappop(self._queue)
-            self._queued -= len(commit.then)
+            self._queued[urgency] -= len(commit.then)
             self.context.emit(commit)
--- a/runcourse/core/transfers.py
+++ b/runcourse/core/transfers.py
@@ -27,6 +27,7 @@
 from .types import Condition, SendToPeer, Write
 
 VACATE_S = 15.0  # within which a machine promised to another share must be empty
+CHANGES_OPEN_S = 0.5  # records changed at once: what the write budget pays for in that time
 YIELD_S = 45.0  # within which a machine that another share asked for must fall empty
 
 
@@ -43,6 +44,7 @@
         self.scheduler = scheduler
         self._again: list[Callable[[], None]] = []
         self._again_at = Instant(0.0)
+        self._changing = 0  # records whose change is under way
         self._promised: dict[MachineId, tuple[ShareNo, Instant]] = {}  # to be given when empty
 
     def tick(self) -> None:
@@ -66,17 +68,20 @@
             case ReturnMachine():
                 machine = self._free(request.machine)
                 if machine is not None:
-                    self.change_record(machine, leaving=True)
+                    self.change_record(machine, Store.LATER, leaving=True)
             case TransferMachine():
                 machine = self._free(request.machine)
                 if machine is not None and self._other(machine.share.number, request.share):
                     self.change_record(machine, share=request.share)
 
     def _free(self, id: MachineId) -> Machine | None:
-        """The machine, if it may leave its share or the fleet now."""
+        """The machine, if it may leave its share or the fleet now. What the write budget has no
+        room for is left: the leader asks again, and until then the machine may be of use."""
         machine = self.fleet.machines.get(id)
         if machine is None or not self._may_leave(machine):
             return None
+        if self._changing >= self.store.affordable(CHANGES_OPEN_S):
+            return None
         return machine
 
     def _may_leave(self, machine: Machine) -> bool:
@@ -90,14 +95,16 @@
     def _other(self, share: ShareNo, to: ShareNo) -> bool:
         return to != share and 0 <= to < len(self.context.members)
 
-    def change_record(self, machine: Machine, **changes: Any) -> None:
+    def change_record(self, machine: Machine, urgency: int = Store.OWNER, **changes: Any) -> None:
         """Give a machine away or mark it leaving; nothing new goes there from now on."""
         machine.moving = True
+        self._changing += 1
         record = machine.record
         state = self.fleet.state_of(machine)
 
         def attempt() -> None:
             if self.fleet.machines.get(machine.id) is not machine:
+                self._changing -= 1
                 return
             self.store.commit(
                 [
@@ -106,11 +113,13 @@
                 ],
                 [Write(MACHINE + machine.id, record.value(**changes))],
                 done,
+                urgency,
             )
 
         def done(result: CommitResult, stamp: Stamp) -> None:
             if result is CommitResult.OK:
                 machine.moving = False
+                self._changing -= 1
                 if "share" in changes:
                     self.ask_owner(changes["share"], state)
             elif result is CommitResult.CONFLICT:
@@ -123,6 +132,7 @@
         def checked(ok: bool) -> None:
             if ok:
                 machine.moving = False
+                self._changing -= 1
             else:
                 self._again.append(attempt)
 
@@ -196,17 +206,17 @@
             if not self.shares.may_command(holding.number):
                 continue
             machines = self.fleet.of_share(holding.number)
-            known = [m for m in machines if m.heard >= 0 or m.record.stamp <= holding.epoch]
-            silent = [
-                m
-                for m in known
-                if now - max(m.heard, holding.since) > limit or self.fleet.unreached_s(m) > limit
-            ]
+            found = {
+                m.id: m
+                for m in machines.not_heard_since(now - limit)
+                if m.heard >= 0 or m.record.stamp <= holding.epoch
+            }
+            found |= {m.id: m for m in machines.suspected() if self.fleet.unreached_s(m) > limit}
             # If most are, it is rather this node that hears nothing or reaches none. Their
             # leases end all the same, since they are not answered.
-            if len(silent) > max(1, len(known) // 2):
+            if len(found) > max(1, machines.known(holding.epoch) // 2):
                 continue
-            for m in silent:
+            for m in found.values():
                 if not m.record.leaving and not m.moving:
                     why = "silent" if now - m.heard > limit else "heard, but not reached"
                     self.context.log("warning", f"machine {m.id}: {why}, returned")
--- a/runcourse/core/unlocated.py
+++ b/runcourse/core/unlocated.py
@@ -47,8 +47,7 @@
             return []
         kinds = {
             (m.record.type, m.record.zone, m.record.spot): m
-            for m in self.fleet.of_share(holding.number)
-            if not m.settled
+            for m in self.fleet.of_share(holding.number).unsettled()
         }
         return list(kinds.values())
 
@@ -89,9 +88,8 @@
     def _most(self, holding: Holding) -> Size:
         """What the machines that are not settled hold together."""
         most = NOTHING
-        for machine in self.fleet.of_share(holding.number):
-            if not machine.settled:
-                if machine.type is None:
-                    return Size(math.inf, math.inf, math.inf)
-                most = most.plus(machine.type.size)
+        for machine in self.fleet.of_share(holding.number).unsettled():
+            if machine.type is None:
+                return Size(math.inf, math.inf, math.inf)
+            most = most.plus(machine.type.size)
         return most
--- a/runcourse/core/users.py
+++ b/runcourse/core/users.py
@@ -18,6 +18,7 @@
 from .jobs import JOB, UID, Job, Jobs, JobSpec, final_value, job_value, storable
 from .machines import Fleet
 from .quota import Quota
+from .running_counts import PeerCounts
 from .shares import Shares
 from .store import CommitResult, Store
 from .stored_values import LIVE
@@ -48,7 +49,7 @@
         self.jobs = jobs
         self.quota = quota
         self.fleet = fleet
-        self.running: dict[JobId, int] = {}  # as owners told it; may lag
+        self.running = PeerCounts()
         self._creating: Counter[str] = Counter()  # submissions being stored, by team
         self._waiting = 0  # questions waiting for one catch-up read
         # A connection asks one thing at a time, so no more can wait than there are.
@@ -70,7 +71,7 @@
         running = (
             self.fleet.placements.running_of(job.uid)
             if share in self.shares.owned
-            else self.running.get(job.uid, 0)
+            else self.running.of(job.uid)
         )
         done = min(job.done_count, job.spec.tasks)
         return job_state(job.uid, "running" if running else "queued", done, running)
--- a/runcourse/core/versions.py
+++ b/runcourse/core/versions.py
@@ -1,8 +1,8 @@
 """Two versions side by side: what every member has been seen to read.
 
 A member's live key names the version of what it reads and writes; the former version's names
-none. Once every member was last seen to be of this version, the leader notes it in the store,
-and from then on what the former version can't read may be written.
+none. Messages are worded for the member they go to. Once every member was last seen to read stored
+values in parts, the leader notes it in the store, and from then on they may be written.
 """
 
 from __future__ import annotations
@@ -15,7 +15,9 @@
 from .stored_values import FORMAT, FORMER, LIVE, FormatValue
 from .types import Condition, Write
 
-VERSION = 2
+PARTS_OF_FINISHES = 2  # pages of finished tasks and catalogues that go on in further values
+LOADS_IN_PAGES = 3  # load reports and running counts that tell of a part at a time
+VERSION = LOADS_IN_PAGES
 
 
 class Versions:
@@ -32,7 +34,7 @@
         if value is None:
             return
         member, version = Member(key[len(LIVE) :]), value.version
-        if version < VERSION and self.all_read:
+        if version < PARTS_OF_FINISHES and self.all_read:
             self.context.log(
                 "warning",
                 f"{member} came back with a former version: it starts anew what"
@@ -42,19 +44,23 @@
 
     @property
     def all_read(self) -> bool:
-        """Has it been noted that every member reads the present version?"""
+        """Has it been noted that every member reads stored values in parts?"""
         return self.store.get(FORMAT) is not None
 
+    def reads(self, member: Member, version: int) -> bool:
+        """Was the member last seen to read what that version brought?"""
+        return self._seen.get(member, FORMER) >= version
+
     def seen(self) -> dict[Member, int | None]:
         """None: not seen yet."""
         return {member: self._seen.get(member) for member in self.context.members}
 
     def note(self, guard: Condition) -> None:
-        """By the leader: note that all are of this version, once they are."""
+        """By the leader: note that all read stored values in parts, once they do."""
         if (
             self._noting
             or self.all_read
-            or any(self._seen.get(m, FORMER) < VERSION for m in self.context.members)
+            or not all(self.reads(m, PARTS_OF_FINISHES) for m in self.context.members)
         ):
             return
         self._noting = True
@@ -66,7 +72,7 @@
         when = [self.store.expect(LIVE + m) for m in self.context.members]
         self.store.commit(
             [guard, Condition(FORMAT, ABSENT), *when],
-            [Write(FORMAT, FormatValue(VERSION))],
+            [Write(FORMAT, FormatValue(PARTS_OF_FINISHES))],
             done,
             Store.LATER,
         )
--- a/runcourse/core/worker_commands.py
+++ b/runcourse/core/worker_commands.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import heapq
 from collections.abc import Callable, Mapping
 
 from .context import Context
@@ -36,7 +37,9 @@
         self.machines = machines
         self.apply_report = apply_report
         self._dirty: dict[MachineId, None] = {}  # to be told something, in turn
+        self._parked: dict[MachineId, None] = {}  # suspected ones that wait for a connection
         self._resting: dict[MachineId, Instant] = {}  # the same, but not before
+        self._rests: list[tuple[Instant, MachineId]] = []  # heap of those ends, some outdated
         # Commands and questions to workers are bounded by the sockets there are for them;
         # machines that may not answer take no more than half, so that others never wait for them.
         sockets = context.platform.settings.quota.sockets(len(context.members))
@@ -50,6 +53,7 @@
 
     def wake(self, id: MachineId) -> None:
         """The worker has to be told something, or shown that it can be reached."""
+        self._parked.pop(id, None)
         self._dirty[id] = None
 
     def suspect(self, machine: Machine, since: Instant | None = None) -> None:
@@ -66,7 +70,7 @@
             machine.probing
             or not machine.addr
             or now < machine.asked_at + PROBE_GAP_S
-            or 2 * self._open_suspected >= self._most_open
+            or self._suspected_are_many()
         ):
             return
         machine.probing = True
@@ -133,38 +137,52 @@
 
     def push(self) -> None:
         """Send what is new straight to the workers; the next report's answer repeats it."""
-        if not self._dirty or self._open >= self._most_open:
-            return
-        now = self.context.now
-        for id in list(self._dirty):
-            if self._open >= self._most_open:
-                return
-            machine = self.machines.get(id)
-            if machine is None or not self.shares.may_command(machine.share.number):
-                del self._dirty[id]
-                continue
-            if machine.do_open or now < machine.do_after:
-                # Looked at again when it may be told; not at every input until then.
-                del self._dirty[id]
-                self._resting[id] = machine.do_after
-                continue
-            if machine.suspected and 2 * self._open_suspected >= self._most_open:
-                continue
+        self._push_dirty()
+        while self._parked and not self._suspected_are_many() and self._open < self._most_open:
+            self.wake(next(iter(self._parked)))
+            self._push_dirty()
+
+    def _push_dirty(self) -> None:
+        while self._dirty and self._open < self._most_open:
+            id = next(iter(self._dirty))
             del self._dirty[id]
-            orders = self.orders(machine, answering=False)
-            fencing = any(p.fence > machine.token_seen for p in machine.placements.values())
-            if machine.addr and machine.session and (orders or fencing or machine.suspected):
-                self._command(machine, orders)
+            machine = self.machines.get(id)
+            if machine is not None and self.shares.may_command(machine.share.number):
+                self._push_one(machine)
+
+    def _suspected_are_many(self) -> bool:
+        """Do commands to machines that may not answer take all that they may?"""
+        return 2 * self._open_suspected >= self._most_open
+
+    def _push_one(self, machine: Machine) -> None:
+        if machine.do_open or self.context.now < machine.do_after:
+            # Looked at again when it may be told; not at every input until then.
+            self._rest(machine)
+            return
+        if machine.suspected and self._suspected_are_many():
+            # Looked at again when one of them was answered: a whole fleet may wait here.
+            self._parked[machine.id] = None
+            return
+        orders = self.orders(machine, answering=False)
+        fencing = any(p.fence > machine.token_seen for p in machine.placements.values())
+        if machine.addr and machine.session and (orders or fencing or machine.suspected):
+            self._command(machine, orders)
+
+    def _rest(self, machine: Machine) -> None:
+        self._resting[machine.id] = machine.do_after
+        heapq.heappush(self._rests, (machine.do_after, machine.id))
 
     def wake_rested(self) -> None:
         """Look again at the machines whose pause between two commands is over."""
-        now = self.context.now
-        for id, at in list(self._resting.items()):
+        while self._rests and self._rests[0][0] <= self.context.now:
+            at, id = heapq.heappop(self._rests)
+            if self._resting.get(id) != at:
+                continue
             machine = self.machines.get(id)
-            if machine is None:
-                del self._resting[id]
-            elif now >= at and not machine.do_open:
-                del self._resting[id]
+            if machine is not None and machine.do_open:
+                continue  # woken by the answer to its command
+            del self._resting[id]
+            if machine is not None:
                 self._dirty[id] = None
 
     def _opened(self, suspected: bool) -> None:
--- a/runcourse/net/clients.py
+++ b/runcourse/net/clients.py
@@ -12,16 +12,19 @@
 from ..core.ids import ALWAYS
 from ..wire import cloud_messages, codec, state_messages
 from ..wire import messages as wire
+from .full_read import FullRead
 from .http import Client, NotSent, TooLate, Unanswered
 
 log = logging.getLogger("runcourse.net")
 
 READ_S = 1.5
+PAGE_S = 4.0
 COMMIT_S = 2.5
 RENEW_S = 1.5  # a slow answer still counts from its sending
 CLOUD_S = 8.0
 COMMAND_S = 2.0
-PAGE = 1000
+PAGE = 1000  # keys, by the protocol
+CLOUD_PAGE = 500  # machines, by the protocol
 
 Result = tuple[int, Any, bool]
 
@@ -72,25 +75,16 @@
         super().__init__()
         self._client = Client(host, port, limit=12)
         self._renewals = Client(host, port, limit=2)
+        self._full_read = FullRead(self)
 
     async def read_all(self, root: str) -> Result:
         """Every key, and the revision from which on changes must be followed."""
-        changes: list[state_messages.Change] = []
-        epoch: int | None = None
-        since = ""
-        while True:
-            target = f"/keys?under={root}&most={PAGE}" + (f"&since={since}" if since else "")
-            status, page, sent = await self.call(
-                self._client, "GET", target, None, 4.0, state_messages.page
-            )
-            if status != 200:
-                return status, None, sent
-            if epoch is None:
-                epoch = page.epoch
-            changes.extend((p.key, p.value, p.stamp) for p in page.pairs)
-            if not page.has_next or not page.pairs:
-                return 200, (changes, epoch), True
-            since = page.pairs[-1].key
+        return await self._full_read.run(root)
+
+    async def page(self, root: str, since: str) -> Result:
+        """A page of the keys under the root, after `since`."""
+        target = f"/keys?under={root}&most={PAGE}" + (f"&since={since}" if since else "")
+        return await self.call(self._client, "GET", target, None, PAGE_S, state_messages.page)
 
     async def follow(self, root: str, since: int) -> Result:
         """Changes under the root since a revision."""
@@ -162,7 +156,7 @@
         since: str | None = None
         while True:
             status, body, sent = await self._paced(
-                "GET", cloud_messages.list_path(since, 500), None, cloud_messages.cloud_list
+                "GET", cloud_messages.list_path(since, CLOUD_PAGE), None, cloud_messages.cloud_list
             )
             if status != 200:
                 return status, None, sent
--- a/runcourse/net/http.py
+++ b/runcourse/net/http.py
@@ -20,6 +20,7 @@
 READ_SIZE = 65536
 IDLE_S = 75.0
 BODY_S = 10.0
+TURNED_AWAY_PER_ROTATION = 16  # connections ended as too many, until a kept one gives way
 REASONS = {
     200: b"OK",
     201: b"Created",
@@ -80,12 +81,15 @@
         self, handler: Handler, max_connections: int, crowd: str = "", crowd_connections: int = 0
     ) -> None:
         """Of the connections, those whose clients ask for the path `crowd` have a limit of their
-        own: beyond it their answers end the connection, so there are always some for others."""
+        own: beyond it their answers end the connection, so there are always some for others.
+        Which ones are kept rotates slowly, so that none of many clients always has to connect."""
         self._handler = handler
         self._max = max_connections
         self._crowd = crowd
         self._crowd_max = crowd_connections
-        self._crowded: set[asyncio.StreamWriter] = set()
+        self._crowded: dict[asyncio.StreamWriter, None] = {}  # those kept for longest first
+        self._giving_way: set[asyncio.StreamWriter] = set()  # of those, to be ended when answered
+        self._turned_away = 0
         self._open: set[asyncio.StreamWriter] = set()
         # Without a whole request's head, oldest first; since when.
         self._idle: dict[asyncio.StreamWriter, float] = {}
@@ -151,9 +155,13 @@
 
     def _forget(self, writer: asyncio.StreamWriter) -> None:
         self._open.discard(writer)
-        self._crowded.discard(writer)
+        self._leave_crowd(writer)
         self._idle.pop(writer, None)
 
+    def _leave_crowd(self, writer: asyncio.StreamWriter) -> None:
+        self._crowded.pop(writer, None)
+        self._giving_way.discard(writer)
+
     def _close_oldest_idle(self) -> bool:
         """A client whose connection is closed between two requests opens another one; one that
         is refused may take the node for dead."""
@@ -195,13 +203,25 @@
     def _crowds(self, writer: asyncio.StreamWriter, target: str) -> bool:
         """Must this answer end its connection, as there are too many of its kind?"""
         if not self._crowd or target != self._crowd:
-            self._crowded.discard(writer)
+            self._leave_crowd(writer)
             return False
+        if writer in self._giving_way:
+            self._leave_crowd(writer)
+            return True
         if writer not in self._crowded and len(self._crowded) >= self._crowd_max:
+            self._rotate()
             return True
-        self._crowded.add(writer)
+        self._crowded[writer] = None
         return False
 
+    def _rotate(self) -> None:
+        """Now and then the connection kept for longest gives way, so the next to come is kept."""
+        self._turned_away += 1
+        if self._turned_away % TURNED_AWAY_PER_ROTATION == 0:
+            oldest = next((w for w in self._crowded if w not in self._giving_way), None)
+            if oldest is not None:
+                self._giving_way.add(oldest)
+
     async def _request(
         self, conn: h11.Connection, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> tuple[h11.Request | None, bytes | None]:
--- a/runcourse/net/peers.py
+++ b/runcourse/net/peers.py
@@ -25,7 +25,7 @@
 
 log = logging.getLogger("runcourse.peers")
 
-QUEUE = 500
+MOST_QUEUED_BYTES = 4 << 20  # for one peer; a plan for a large fleet is many messages
 LINE_LIMIT = 1 << 20
 STUCK_BYTES = 1 << 20
 
@@ -37,20 +37,30 @@
         self._me = me
         self._host = host
         self._port = port
-        self._queue: deque[bytes] = deque(maxlen=QUEUE)
+        self._queue: deque[bytes] = deque()
+        self._queued_bytes = 0
         self._wake = asyncio.Event()
 
     def send(self, line: bytes) -> None:
         self._queue.append(line)
+        self._queued_bytes += len(line)
+        while self._queued_bytes > MOST_QUEUED_BYTES:
+            self._queued_bytes -= len(self._queue.popleft())
         self._wake.set()
 
+    def _take_queue(self) -> bytes:
+        lines = b"".join(self._queue)
+        self._queue.clear()
+        self._queued_bytes = 0
+        return lines
+
     async def run(self) -> None:
         while True:
             try:
                 async with asyncio.timeout(1.5):
                     reader, writer = await asyncio.open_connection(self._host, self._port)
             except (OSError, TimeoutError):
-                self._queue.clear()
+                self._take_queue()
                 await asyncio.sleep(0.25)
                 continue
             try:
@@ -68,8 +78,7 @@
             while not ended.done():
                 self._wake.clear()
                 if self._queue:
-                    writer.write(b"".join(self._queue))
-                    self._queue.clear()
+                    writer.write(self._take_queue())
                     if writer.transport.get_write_buffer_size() > STUCK_BYTES:
                         return
                 waker = asyncio.ensure_future(self._wake.wait())
--- a/runcourse/wire/peer_messages.py
+++ b/runcourse/wire/peer_messages.py
@@ -33,13 +33,14 @@
     member: Member
 
 
-class Heartbeat(Struct, frozen=True, tag_field="t", tag="hello"):
+class Heartbeat(Struct, frozen=True, tag_field="t", tag="hello", omit_defaults=True):
     """Sent to all peers every second."""
 
     contact: bool  # with the state service
-    running: dict[JobId, int]  # running tasks of each job of the sender's shares
+    running: dict[JobId, int]  # running tasks of jobs of the sender's shares, a page of them
     silent: list[str]  # machines of the sender's shares whose reports are overdue
     applied: int | None = None  # revision up to which the sender has read the store
+    begins: bool = True  # the first page of a round over all jobs
 
 
 class SyncRequest(Struct, frozen=True, tag_field="t", tag="sync"):
--- a/tests/test_daemon.py
+++ b/tests/test_daemon.py
@@ -15,6 +15,7 @@
 from runcourse.config import Operators, load_platform
 from runcourse.core import types as t
 from runcourse.core.ids import Instant
+from runcourse.core.versions import VERSION
 from runcourse.daemon import Daemon
 from runcourse.net.http import Client
 from runcourse.wire.codec import decode_map, encode
@@ -268,7 +269,7 @@
         }
         assert (await service.ask("POST", "/v1/jobs", gang))[0] == 201
         status = await ask_status(service.standins.internal)
-        assert status["versions"] == {"runner-0": 2}
+        assert status["versions"] == {"runner-0": VERSION}
         assert [g["tasks"] for g in status["gangs"]] == [2]
         assert status["leader"] == "runner-0"
         assert status["shares"][0]["owner"] == "runner-0" and status["shares"][0]["settled"]
--- a/tests/test_gang_placement.py
+++ b/tests/test_gang_placement.py
@@ -90,7 +90,7 @@
     world.submit(gang(tasks=6))
     world.run(1.0)
     share = node.shares.of_team("team-1")  # type: ignore[arg-type]
-    load = share_load(node.context, share, node.fleet, node.scheduler)
+    load = share_load(node.context, share, (), node.fleet, node.scheduler)
     (need,) = LoadReport(load, node.context.now).demands
     assert need.block and need.hire == 6 and sum(need.room.values()) >= 2
     (zone,) = [z for z, n in need.room.items() if n == max(need.room.values())][:1]
--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -132,17 +132,19 @@
     )  # type: ignore[arg-type]
     # As after a takeover: nothing is located yet.
     holding.settled = False
-    hiding = node.fleet.of_share(holding.number)[-1]
+    hiding = list(node.fleet.of_share(holding.number))[-1]
     hiding.settled = False
     work = next(iter(node.scheduler.work.values()))
     work.pending = {1: None, 0: None}
+    node.scheduler.enqueue(work)
     work.job.accepted = holding.epoch
     later = Job(spec("j-000010", tasks=1, cpus=1.0), holding.epoch + 1)  # type: ignore[arg-type]
     for placement in placements_of(node, holding.number):
         node.quota.remove(placement)
     assert node.quota.allows(later), "what is seen alone would leave room"
-    node.scheduler.work[later.uid] = Work(later, holding.number)
-    node.scheduler.work[later.uid].pending = {0: None}
+    later_work = Work(later, holding.number)
+    later_work.pending = {0: None}
+    node.scheduler.enqueue(later_work)
     node.scheduler._turn(holding)
     assert TaskId(later.uid, 0) not in node.fleet.placements.by_task
     # What can't hold such tasks hides none of them.
@@ -171,7 +173,7 @@
     for placement in placements_of(node, number):
         node.fleet.placements.remove(placement, "share lost")
     holding.settled = False
-    hiding = node.fleet.of_share(number)[:2]
+    hiding = list(node.fleet.of_share(number))[:2]
     for machine in hiding:
         machine.settled = False
     job = node.jobs.get("j-000011")  # type: ignore[arg-type]
--- a/tests/test_lower_limits.py
+++ b/tests/test_lower_limits.py
@@ -16,7 +16,8 @@
 
 from runcourse.config import Operators
 from runcourse.core import types as t
-from runcourse.core.ids import Instant, JobId, Stamp
+from runcourse.core.adoption import FoundMachine
+from runcourse.core.ids import Instant, JobId, MachineId, ShareNo, Stamp
 from runcourse.core.jobs import MAX_TASKS, PART_BITS, job_value, short, storable
 from runcourse.core.node import Node
 from runcourse.core.order import Order
@@ -111,6 +112,22 @@
     assert all(json_size(value) <= LEAST for _, value, _ in commit.then)
 
 
+def answered_batches(node: Node) -> list[list[t.Write]]:
+    """All that the node asks to be changed, as each change is answered."""
+    batches: list[list[t.Write]] = []
+    while True:
+        node.context.now = Instant(node.context.now + 1.0)
+        node.store._flush()
+        commits = [e for e in node.context.effects if isinstance(e, t.Commit)]
+        node.context.effects.clear()
+        if not commits:
+            return batches
+        for commit in commits:
+            batches.append(commit.then)
+            stamp = Stamp(1000 + len(batches))
+            commit.tag(t.Outcome(commit.tag, 200, stamp, began=node.context.now))
+
+
 def test_the_record_of_teams_and_batches_of_machines_fit() -> None:
     node = planning(value_kb=2.0, txn_ops=LEAST_OPS)
     many = tuple(
@@ -121,12 +138,11 @@
     _, changes = node.shares._mapping()
     assert json_size(changes[0][1]) <= LEAST, "hashes for all, where the list is too long"
     node.fleet.types = {"m4": t.MachineType("m4", 4.0, 16.0, 0.0, 40.0, 1.0, 1.0, 0.3, 2.0, ())}
-    found = [(f"i-{n:06d}", "m4", "a", False, 0) for n in range(100)]
-    node.rental.inventory.leading = lambda: True
-    node.rental.inventory.adopt(found)  # type: ignore[arg-type]
-    batches = [c.then for _, _, c in node.store._queue] + [
-        e.then for e in node.context.effects if isinstance(e, t.Commit)
-    ]
+    ids = [MachineId(f"i-{n:06d}") for n in range(100)]
+    found = [FoundMachine(id, "m4", "a", False, ShareNo(0)) for id in ids]
+    node.rental.adoption.leading = lambda: True
+    node.rental.adoption.adopt(found)
+    batches = answered_batches(node)
     assert sum(map(len, batches)) == 100 and max(map(len, batches)) == LEAST_OPS
     rows = [
         [f"type-{n:03d}" + "x" * 100, 4.0, 16.0, 0.0, 40.0, 1.0, 1.0, 0.3, 2.0, ["a", "b"]]
--- /dev/null
+++ b/tests/test_many.py
@@ -0,0 +1,455 @@
+"""What must not grow with the fleet: messages, queues, connections, numbers that run out."""
+
+import asyncio
+import random
+from collections.abc import Callable
+from typing import Any
+
+import pytest
+from test_cloud import leader
+from test_failures import ready
+from test_guards import owner_of_some
+from test_sockets import BEAT, serve
+from world import World, platform, spec
+
+from runcourse.config import Operators
+from runcourse.core import types as t
+from runcourse.core.adoption import MOST_OPEN, FoundMachine
+from runcourse.core.demand import LOAD_PAGE, LoadPages
+from runcourse.core.finishes import FLUSH_GAP_S
+from runcourse.core.ids import (
+    COUNTER_BITS,
+    Instant,
+    JobId,
+    MachineId,
+    Member,
+    ShareNo,
+    Stamp,
+    highest_epoch,
+    make_attempt,
+)
+from runcourse.core.inventory import LIST_PAGE
+from runcourse.core.jobs import Job, Jobs, job_value
+from runcourse.core.node import Node
+from runcourse.core.running_counts import RUNNING_PAGE, PeerCounts, RunningPages
+from runcourse.core.shares import Holding
+from runcourse.core.stored_values import MACHINE, GoneMachine
+from runcourse.core.versions import LOADS_IN_PAGES
+from runcourse.net.full_read import FOLLOW_EVERY, FullRead
+from runcourse.net.http import TURNED_AWAY_PER_ROTATION, Client, Server
+from runcourse.wire.peer_messages import (
+    Heartbeat,
+    MachineLoad,
+    ReturnMachine,
+    ShareLoad,
+    encode,
+)
+from runcourse.wire.state_messages import Change, Page, Pair
+
+# --- numbers that run out ----------------------------------------------------------------
+
+
+def test_attempts_stay_unique_beyond_a_million_starts_of_one_owner() -> None:
+    """At 4,000 machines an owner starts a million tasks within the hour: with the counter's bits
+    full, numbers came again that were given before."""
+    million = 1 << COUNTER_BITS
+    holding = Holding(ShareNo(0), Stamp(5), Instant(0.0))
+    first = holding.next_attempt()
+    holding._attempts = million - 1
+    beyond = [holding.next_attempt() for _ in range(3)]
+    assert len({first, *beyond}) == 4 and [first, *beyond] == sorted([first, *beyond])
+    assert beyond[-1] < make_attempt(Stamp(7), 0), "below those of whoever owns it next"
+    assert highest_epoch(Stamp(5), million) == 6
+
+
+def test_nothing_starts_whose_attempt_another_owner_may_use() -> None:
+    """A number carried into a revision that is not taken yet might be the next owner's."""
+    node, machine = owner_of_some(ready())
+    holding = machine.share
+    holding._attempts = (int(node.store.applied - holding.epoch) + 1 << COUNTER_BITS) - 1
+    job = Job(spec("j-000001", tasks=1), Stamp(holding.epoch + 1))
+    node.scheduler._open(job, holding.number)
+    node.scheduler._turn(holding)
+    assert node.scheduler.work[job.uid].pending
+    node.store.applied = Stamp(node.store.applied + 1)
+    node.scheduler._turn(holding)
+    assert not node.scheduler.work[job.uid].pending
+
+
+# --- messages between controllers --------------------------------------------------------
+
+
+def test_heartbeats_tell_of_many_jobs_in_pages_and_lost_ones_are_made_up_for() -> None:
+    counts: dict[JobId, int] = {}
+    changed: dict[JobId, None] = {}
+    pages, told = RunningPages(counts, changed), PeerCounts()
+    rng = random.Random(3)
+
+    def change(number: int, count: int) -> None:
+        uid = JobId(f"j-{number:06d}")
+        if count:
+            counts[uid] = count
+        else:
+            counts.pop(uid, None)
+        changed[uid] = None
+
+    def beat(lost: bool = False) -> None:
+        begins, page = pages.next()
+        assert len(page) <= RUNNING_PAGE
+        line = encode(Heartbeat(True, page, [], 1, begins))
+        assert len(line) < 64 * 1024
+        if not lost:
+            told.record(Member("n1"), begins, page)
+
+    for number in range(5 * RUNNING_PAGE):
+        change(number, 1 + number % 3)
+    for _ in range(12):
+        beat()
+    assert all(told.of(uid) == count for uid, count in counts.items())
+    change(7, 9)
+    change(8, 0)
+    beat()
+    assert told.of(JobId("j-000007")) == 9 and told.of(JobId("j-000008")) == 0, "changes go first"
+    for number in rng.sample(range(5 * RUNNING_PAGE), 500):
+        change(number, 0)
+    for n in range(24):
+        beat(lost=n < 4)
+    for number in range(5 * RUNNING_PAGE):
+        uid = JobId(f"j-{number:06d}")
+        assert told.of(uid) == counts.get(uid, 0)
+
+
+def test_owners_tell_the_leader_of_their_machines_in_pages() -> None:
+    node = leader(ready(machines=9))
+    share = next(iter(node.shares.owned))
+    machines = node.fleet.of_share(share)
+    pages = LoadPages(node.fleet, share)
+    assert [m.id for m in pages.next()] == [m.id for m in machines]
+
+    class Many(LoadPages):
+        def all(self) -> list[Any]:
+            return [next(iter(machines))] * (2 * LOAD_PAGE + 1)
+
+    many = Many(node.fleet, share)
+    assert [len(many.next()) for _ in range(4)] == [LOAD_PAGE, LOAD_PAGE, 1, LOAD_PAGE]
+    heard = {f"i-{n:06d}": MachineLoad(100.25, 1000.5, 31.5) for n in range(LOAD_PAGE)}
+    assert len(encode(ShareLoad(share, 1e5, heard, []))) < 64 * 1024
+
+
+def test_a_leader_of_the_former_version_is_told_of_all_machines_at_once() -> None:
+    world = World(machines=9, former=True)
+    world.run(5.0)
+    old = next(m for m, n in world.nodes.items() if n and n.rental.leadership.leading)
+    other = next(m for m in world.members if m != old)
+    world.crash(other)
+    world.former.discard(other)
+    world.start(other)
+    node = world.nodes[other]
+    assert node is not None
+    world.until(lambda: bool(node.shares.owned) and bool(node.fleet.machines), 10.0)
+    node.rental._pages = {}
+    node.context.effects.clear()
+    with pytest.MonkeyPatch.context() as patched:
+        patched.setattr("runcourse.core.demand.LOAD_PAGE", 1)
+        assert not node.versions.reads(Member(old), LOADS_IN_PAGES)
+        node.rental._tell_load()
+    sent = [e.message for e in node.context.effects if isinstance(e, t.SendToPeer)]
+    (load,) = [m for m in sent if isinstance(m, ShareLoad)]
+    assert len(load.machines) == len(node.fleet.of_share(load.share)) > 1
+
+
+# --- changes of the state service --------------------------------------------------------
+
+
+def test_recording_a_fleet_leaves_room_for_users() -> None:
+    """4,000 records take the state service most of a minute: a submission was behind them all."""
+    node = leader(ready(machines=1))
+    adoption, queued = node.rental.adoption, node.store._queued
+    found = [
+        FoundMachine(MachineId(f"i-9{n:05d}"), "m4", "a", False, ShareNo(0)) for n in range(4000)
+    ]
+    node.store._writes.rate, node.store._writes.level = 0.1, 0.0
+    adoption.adopt(found[:1])
+    assert queued[node.store.OWNER] == 1, "a few go first, as work waits for them"
+    adoption.adopt(found)
+    assert queued[node.store.OWNER] == 1
+    assert queued[node.store.USER] == (MOST_OPEN - 1) * node.context.limits.txn_ops
+
+
+def test_returning_a_fleet_leaves_room_for_users_and_machines_for_work() -> None:
+    world = ready(machines=60)
+    node = owner_of_some(world)[0]
+    machines = list(node.fleet.machines.values())
+    node.store._writes.rate, node.store._writes.level = 8.0, 0.0
+    for machine in machines:
+        node.rental.transfers.handle(ReturnMachine(machine.id))
+    moving = [m for m in machines if m.moving]
+    assert 1 <= len(moving) == node.store.affordable(0.5) < len(machines)
+    assert node.store.backlog == 0.0, "users' changes go before returns"
+
+
+def test_forgetting_returned_machines_keeps_up_with_returns() -> None:
+    node = leader(ready(machines=1))
+    inventory, size = node.rental.inventory, node.context.limits.txn_ops
+    inventory.largest = 0
+    for n in range(1000 + 500):
+        key = f"{MACHINE}i-{500_000 + n}"
+        node.store._change(key, GoneMachine(), Stamp(10_000 + n))
+    before = sum(node.store._queued) + len(node.context.effects)
+    inventory._forget_gone(100)
+    forgotten = [
+        w.key
+        for e in [*node.context.effects, *(c for _, _, c in node.store._queue)]
+        if isinstance(e, t.Commit)
+        for w in e.then
+        if w.value is None
+    ]
+    assert len(forgotten) == size + 200 and before == 0
+    assert f"{MACHINE}i-500000" in forgotten, "the oldest"
+
+
+def test_unstored_finishes_are_looked_at_when_they_are_due() -> None:
+    """Each input went through every job with a finished task."""
+    node, machine = owner_of_some(ready())
+    finishes, share = node.scheduler.finishes, machine.share.number
+    asked: list[JobId] = []
+    finishes.store_some = lambda work, complete: asked.append(work.job.uid)  # type: ignore[method-assign]
+    works = []
+    for n in range(50):
+        job = Job(spec(f"j-1{n:05d}", tasks=5), Stamp(machine.share.epoch + 1))
+        node.scheduler._open(job, share)
+        works.append(node.scheduler.work[job.uid])
+        works[-1].flushed_at = Instant(node.context.now - FLUSH_GAP_S + 0.01 * (n + 1) + 0.001)
+        finishes.add(works[-1], 0)
+    finishes.flush()
+    assert not asked
+    node.context.now = Instant(node.context.now + 0.2051)
+    finishes.flush()
+    assert len(asked) == 20
+    for number in range(1, 5):
+        finishes.add(works[40], number)
+    finishes.flush()
+    assert asked[20:] == [works[40].job.uid], "what completes a job does not wait"
+
+
+def test_news_of_cancellations_is_found_by_revision() -> None:
+    jobs = Jobs()
+    order = list(range(1, 200))
+    random.Random(1).shuffle(order)  # a first read brings them by name
+    for n in order:
+        job = spec(f"j-{n:06d}")
+        jobs.apply_job(JobId(job.uid), job_value(job, "cancelled"), Stamp(n), 0.0)
+    assert jobs.cancelled_since(Stamp(197)) == [JobId("j-000198"), JobId("j-000199")]
+    assert len(jobs.cancelled_since(Stamp(0))) == 199
+
+
+# --- the cloud and the workers -----------------------------------------------------------
+
+
+def test_a_long_list_leaves_most_of_the_clouds_rate_to_hires() -> None:
+    node = leader(ready(machines=1))
+    inventory, rps = node.rental.inventory, node.context.platform.settings.cloud.rps
+    assert inventory._list_every_s() == 3.0
+    inventory._listed_now = {MachineId(f"i-{n:06d}") for n in range(100 * LIST_PAGE)}
+    assert 100 / inventory._list_every_s() == pytest.approx(rps / 4)
+
+
+def test_an_unknown_fleet_is_asked_with_few_connections() -> None:
+    node = leader(ready(machines=1))
+    node.context.effects.clear()
+    for n in range(500):
+        id = MachineId(f"i-8{n:05d}")
+        node.rental.inventory._check_unknown(id, f"{id}:1", "m4", "a", False)
+    probes = [e for e in node.context.effects if isinstance(e, t.Probe)]
+    sockets = node.context.platform.settings.quota.sockets(len(node.context.members))
+    assert 1 <= len(probes) == sockets.probes < 500
+
+
+def test_suspected_machines_that_wait_for_a_connection_are_not_looked_at_each_time() -> None:
+    """After a takeover each input went through all machines that could not be told yet."""
+    world = ready(machines=12)
+    node, _ = owner_of_some(world)
+    commands = node.fleet.commands
+    commands._most_open = 2
+    for machine in node.fleet.machines.values():
+        machine.do_after = Instant(0.0)
+        commands.suspect(machine)
+    commands.push()
+    assert commands._open == 1 and not commands._dirty
+    assert len(commands._parked) == len(node.fleet.machines) - 1
+    waiting = next(iter(commands._parked))
+    command = next(e for e in node.context.effects if isinstance(e, t.Command))
+    node.context.effects.clear()
+    command.tag(t.Outcome(command.tag, 0, None, sent=False, began=node.context.now))
+    commands.push()
+    assert waiting not in commands._parked, "the one that waited for longest is next"
+
+
+def test_connections_of_many_workers_give_way_in_turn() -> None:
+    """Those that came first kept theirs for good, and the others connected for each report."""
+
+    async def story(server: Server, port: int) -> None:
+        workers = [Client("127.0.0.1", port, limit=1) for _ in range(12)]
+        kept: dict[int, int] = dict.fromkeys(range(12), 0)
+        for _ in range(12 * TURNED_AWAY_PER_ROTATION):
+            for number, worker in enumerate(workers):
+                assert (await worker.request("POST", BEAT, b"x", 5.0))[0] == 200
+                kept[number] += bool(worker._idle) and not worker._idle[0].reader.at_eof()
+            assert server.crowded <= 5
+        assert min(kept.values()) > 0.25 * max(kept.values()), kept
+        for worker in workers:
+            worker.close()
+
+    serve(16, 5, story)
+
+
+# --- reading everything ------------------------------------------------------------------
+
+
+class ScriptedKeys:
+    """The state service's keys, with failures by the number of the request."""
+
+    def __init__(self, keys: int, page: int) -> None:
+        self.data: dict[str, tuple[int, int]] = {f"rc/{n:04d}": (n, n + 1) for n in range(keys)}
+        self.epoch = keys
+        self.log: list[Change] = []
+        self.forgotten = 0  # changes up to that revision can't be followed any more
+        self.page_size = page
+        self.requests = 0
+        self.pages_read: list[str] = []
+        self.fail: dict[int, int] = {}
+        self.before: dict[int, Callable[[], None]] = {}
+
+    def write(self, key: str, value: int | None) -> None:
+        self.epoch += 1
+        if value is None:
+            del self.data[key]
+        else:
+            self.data[key] = (value, self.epoch)
+        self.log.append((key, value, self.epoch))
+
+    def _begin(self) -> int:
+        self.requests += 1
+        self.before.pop(self.requests, lambda: None)()
+        return self.fail.pop(self.requests, 200)
+
+    async def page(self, root: str, since: str) -> Any:
+        status = self._begin()
+        if status != 200:
+            return status, None, True
+        self.pages_read.append(since)
+        found = sorted(k for k in self.data if k > since)
+        pairs = [Pair(k, *self.data[k]) for k in found[: self.page_size]]
+        return 200, Page(pairs, self.epoch, len(found) > self.page_size), True
+
+    async def follow(self, root: str, since: int) -> Any:
+        status = self._begin()
+        if status == 200 and since < self.forgotten:
+            status = 410
+        if status != 200:
+            return status, None, True
+        return 200, ([c for c in self.log if c[2] > since], self.epoch), True
+
+    def applied(self, changes: list[Change]) -> dict[str, int]:
+        """The values that a store makes of the changes: by version, as it does."""
+        stamps: dict[str, int] = {}
+        values: dict[str, int] = {}
+        for key, value, stamp in changes:
+            if stamp > stamps.get(key, 0):
+                stamps[key] = stamp
+                if value is None:
+                    values.pop(key, None)
+                else:
+                    values[key] = value
+        return values
+
+
+def read_until_done(keys: ScriptedKeys, attempts: int) -> dict[str, int]:
+    full = FullRead(keys)
+    for number in range(attempts):
+        status, body, _ = asyncio.run(full.run("rc/"))
+        if status == 200:
+            assert body is not None and number == attempts - 1, "not one attempt too many"
+            changes, epoch = body
+            keys.log = [c for c in keys.log if c[2] > epoch]
+            return keys.applied([*changes, *keys.log])
+    raise AssertionError("not read")
+
+
+def test_a_full_read_goes_on_where_it_failed_with_what_changed_meanwhile() -> None:
+    keys = ScriptedKeys(keys=95, page=10)
+    keys.fail = {5: 503, 9: 0}
+    keys.before = {6: lambda: (keys.write("rc/0001", None), keys.write("rc/0094", 7))}  # type: ignore[assignment, dict-item, return-value]
+    values = read_until_done(keys, 3)
+    assert values == {k: v for k, (v, _) in keys.data.items()}
+    assert len(keys.pages_read) == 10 == len(set(keys.pages_read)), "no page twice"
+
+
+def test_a_full_read_that_changes_outran_begins_anew() -> None:
+    """More changed than the state service remembers, between two pages."""
+    keys = ScriptedKeys(keys=10 * (FOLLOW_EVERY + 3), page=10)
+
+    def outrun() -> None:
+        for n in range(50):
+            keys.write(f"rc/{n:04d}", None if n % 2 else 1000 + n)
+        keys.forgotten = keys.epoch
+
+    keys.before = {FOLLOW_EVERY + 1: outrun}
+    values = read_until_done(keys, 1)
+    assert values == {k: v for k, (v, _) in keys.data.items()}
+
+
+def test_a_full_read_waits_for_its_turn_and_does_not_begin_anew() -> None:
+    keys = ScriptedKeys(keys=50, page=10)
+    keys.fail = {2: 429, 3: 429}
+    assert len(read_until_done(keys, 1)) == 50
+    assert len(keys.pages_read) == 5
+
+
+# --- all at once -------------------------------------------------------------------------
+
+
+def test_four_thousand_machines_are_recorded_serve_and_change_hands() -> None:
+    """Adoption, work, a controller lost: no lease ends, no message grows with the fleet."""
+
+    class Counting(World):
+        longest = 0
+
+        def _say(self, member: str, other: str, message: Any) -> None:
+            self.longest = max(self.longest, len(encode(message)))
+            super()._say(member, other, message)
+
+    keep = Operators(idle_return=1e6)
+    world = Counting(machines=4000, cpus_max=400.0, lease_s=12.0, operators=keep)
+
+    def recorded() -> int:
+        return sum(k.startswith(MACHINE) for k in world.state.data)
+
+    def settled() -> bool:
+        held = [h for n in world.nodes.values() if n for h in n.shares.owned.values()]
+        return len(held) == 3 and all(h.settled for h in held)
+
+    world.until(lambda: recorded() == 4000 and settled(), 40.0)
+    for n in range(4):
+        world.submit(spec(f"j-00000{n}", tasks=40, service=True, team=f"team-{n}", rank=0))
+        world.submit(spec(f"j-00001{n}", tasks=60, team=f"team-{n}", estimate_s=2.0))
+    replicas = {f"j-00000{n}" for n in range(4)}
+
+    def up() -> int:
+        return sum(task.job in replicas for task, _ in world.on_machines())
+
+    world.until(lambda: up() == 160, 15.0)
+    sessions = sum(w.session for w in world.workers.values())
+    starts = len([1 for _, task, _ in world.starts if task.job in replicas])
+    world.crash("n0")
+    world.run(1.0)
+    world.until(settled, 12.0)
+    world.until(lambda: all(world.poll(f"j-00001{n}", "n1") == "done" for n in range(4)), 20.0)
+    assert sum(w.session for w in world.workers.values()) == sessions, "no worker's lease ended"
+    assert up() == 160 and starts == len([1 for _, x, _ in world.starts if x.job in replicas])
+    assert 0 < world.longest < 64 * 1024 and not world.broken
+
+
+def test_a_node_with_the_worlds_settings_has_sockets_for_its_probes() -> None:
+    node = Node(platform("n0"), Operators(), random.Random(1), Instant(0.0))
+    assert node.rental.inventory._most_asked >= 1
--- a/tests/test_shortage.py
+++ b/tests/test_shortage.py
@@ -26,7 +26,7 @@
 def test_in_a_shortage_a_task_leaves_machines_to_those_whose_image_is_there() -> None:
     node, machine = owner_of_some(ready(machines=12))
     scheduler, share = node.scheduler, machine.share
-    machines = node.fleet.of_share(share.number)[:4]
+    machines = list(node.fleet.of_share(share.number))[:4]
     assert len(machines) == 4
     for number, m in enumerate(machines):
         for image in ("a", "b") if number < 2 else ("c", "d"):
@@ -42,7 +42,7 @@
             m.room = NOTHING
     for work in works:
         work.job.submitted = node.context.now
-        scheduler.work[work.job.uid] = work
+        scheduler.enqueue(work)
     scheduler.image_supply._held[share.number] = HeldImages(
         node.context.now, dict.fromkeys("abcd", 12.0), 24.0
     )
@@ -57,7 +57,7 @@
     scheduler, share = node.scheduler, machine.share
     work = waiting(share.number, "c", 1)
     work.job.submitted = node.context.now
-    scheduler.work[work.job.uid] = work
+    scheduler.enqueue(work)
     for m in node.fleet.of_share(share.number):
         m.images["a"] = 1.0
     scheduler._turn(share)
@@ -95,13 +95,13 @@
     new = waiting(share.number, "img", 2, deadline_s=500.0)
     old.job.submitted = node.context.now - AGED_S - 1.0  # type: ignore[assignment]
     new.job.submitted = node.context.now
-    scheduler.work = {w.job.uid: w for w in (old, new)}
     started = 0
     for _ in range(15):
         for m in node.fleet.of_share(share.number):
             for placement in list(m.placements.values()):
                 node.fleet.placements.remove(placement, "done")
-        scheduler.work = {w.job.uid: w for w in (old, new)}
+        scheduler.enqueue(old)
+        scheduler.enqueue(new)
         old.finished = new.finished = 0
         old.pending.update({n: None for n in range(20)})
         new.pending.update({n: None for n in range(20)})
@@ -123,7 +123,7 @@
     claimant = waiting(share.number, "img", 2, team="team-0")
     replica = waiting(share.number, "img", 3, team="team-0", service=True, rank=0)
     borrower.job.submitted = node.context.now
-    scheduler.work[borrower.job.uid] = borrower
+    scheduler.enqueue(borrower)
     for m in node.fleet.of_share(share.number):  # beyond its guarantee of 4 CPUs
         for _ in range(2):
             number = next(iter(borrower.pending))
