--- a/tests/test_fleet_indexes.py
+++ b/tests/test_fleet_indexes.py
@@ -146,6 +146,9 @@
         for number in range(STEPS):
             act(world, ("submit", "service", "gang")[number % 3], number, 100 + number)
             act(world, rng.choice(ACTIONS), rng.randrange(40), number)
+            if number % 5 == 2:  # the cloud will take one back, or thinks better of it
+                worker = rng.choice(list(world.workers.values()))
+                worker.notice_s = None if worker.notice_s else 20.0
             world.run(rng.uniform(0.1, 3.0))
         world.run(15.0)
     assert not world.broken
--- a/tests/test_many.py
+++ b/tests/test_many.py
@@ -1,11 +1,10 @@
 """What must not grow with the fleet: messages, queues, connections, numbers that run out."""
 
-import asyncio
 import random
-from collections.abc import Callable
 from typing import Any
 
 import pytest
+from mixed_versions import mixed
 from test_cloud import leader
 from test_failures import ready
 from test_guards import owner_of_some
@@ -15,7 +14,7 @@
 from runcourse.config import Operators
 from runcourse.core import types as t
 from runcourse.core.adoption import MOST_OPEN, FoundMachine
-from runcourse.core.demand import LOAD_PAGE, LoadPages
+from runcourse.core.demand import LOAD_PAGE, LOAD_VALID_S, LoadPages
 from runcourse.core.finishes import FLUSH_GAP_S
 from runcourse.core.ids import (
     COUNTER_BITS,
@@ -33,9 +32,8 @@
 from runcourse.core.node import Node
 from runcourse.core.running_counts import RUNNING_PAGE, PeerCounts, RunningPages
 from runcourse.core.shares import Holding
-from runcourse.core.stored_values import MACHINE, GoneMachine
+from runcourse.core.stored_values import MACHINE, GoneMachine, MachineValue
 from runcourse.core.versions import LOADS_IN_PAGES
-from runcourse.net.full_read import FOLLOW_EVERY, FullRead
 from runcourse.net.http import TURNED_AWAY_PER_ROTATION, Client, Server
 from runcourse.wire.peer_messages import (
     Heartbeat,
@@ -44,7 +42,6 @@
     ShareLoad,
     encode,
 )
-from runcourse.wire.state_messages import Change, Page, Pair
 
 # --- numbers that run out ----------------------------------------------------------------
 
@@ -136,6 +133,7 @@
     assert len(encode(ShareLoad(share, 1e5, heard, []))) < 64 * 1024
 
 
+@mixed
 def test_a_leader_of_the_former_version_is_told_of_all_machines_at_once() -> None:
     world = World(machines=9, former=True)
     world.run(5.0)
@@ -176,11 +174,30 @@
     assert queued[node.store.USER] == (MOST_OPEN - 1) * node.context.limits.txn_ops
 
 
+def test_one_machine_recorded_meanwhile_does_not_keep_the_others_of_its_batch_out() -> None:
+    node = leader(ready(machines=1))
+    found = [FoundMachine(MachineId(f"i-9{n:05d}"), "m4", "a", False, ShareNo(0)) for n in range(3)]
+    node.context.effects.clear()
+    node.store._writes.level = 1e9
+    node.rental.adoption.adopt(found)
+    batch = next(e for e in node.context.effects if isinstance(e, t.Commit))
+    assert len(batch.then) == 3
+    other = MachineValue(ShareNo(1), "m4", "a", False, False)
+    node.store._change(MACHINE + found[0].id, other, Stamp(node.store.applied + 1))
+    node.context.effects.clear()
+    batch.tag(t.Outcome(batch.tag, 409, None, began=node.context.now))
+    node.store._flush()
+    alone = [e.then[0].key for e in node.context.effects if isinstance(e, t.Commit)]
+    assert sorted(alone) == [MACHINE + machine.id for machine in found[1:]]
+    assert found[0].id not in node.rental.adoption
+
+
 def test_returning_a_fleet_leaves_room_for_users_and_machines_for_work() -> None:
     world = ready(machines=60)
     node = owner_of_some(world)[0]
     machines = list(node.fleet.machines.values())
-    node.store._writes.rate, node.store._writes.level = 8.0, 0.0
+    writes = node.store._writes
+    writes.rate, writes.level, writes.at = 8.0, 0.0, node.context.now
     for machine in machines:
         node.rental.transfers.handle(ReturnMachine(machine.id))
     moving = [m for m in machines if m.moving]
@@ -260,6 +277,7 @@
     assert len(held) == len(set(held)) == 300, "each in one share"
 
 
+@mixed
 def test_an_upgrade_while_loads_are_told_in_pages() -> None:
     """Former leaders get every machine at once; replicas stay, and empty machines are returned."""
     with pytest.MonkeyPatch.context() as patched:
@@ -298,6 +316,23 @@
     assert 100 / inventory._list_every_s() == pytest.approx(rps / 4)
 
 
+def test_a_machine_missing_from_the_list_is_kept_until_its_owner_has_spoken_of_it() -> None:
+    """Owners tell of their machines in turn: what was said before the list proves nothing."""
+    node = leader(ready(machines=3))
+    inventory, view, now = node.rental.inventory, node.rental.view, node.context.now
+    id, record = next(iter(node.fleet.records.items()))
+    missing = Instant(now - 1.0)
+    view._sightings[id] = (Instant(now - 2.0), MachineLoad(0.5, -1.0, 0.0))
+    assert inventory._may_live(id, missing), "an old word, and its owner goes on telling"
+    view._sightings[id] = (Instant(now - 0.5), MachineLoad(0.2, -1.0, 0.0))
+    assert inventory._may_live(id, missing), "heard since"
+    view._sightings[id] = (Instant(now - 0.5), MachineLoad(3.0, -1.0, 0.0))
+    assert not inventory._may_live(id, missing), "not heard since, by a newer word"
+    view._sightings[id] = (Instant(now - 2.0), MachineLoad(0.5, -1.0, 0.0))
+    node.rental.loads[record.share].at = Instant(now - LOAD_VALID_S - 0.1)
+    assert not inventory._may_live(id, missing), "its owner tells nothing any more"
+
+
 def test_an_unknown_fleet_is_asked_with_few_connections() -> None:
     node = leader(ready(machines=1))
     node.context.effects.clear()
@@ -347,109 +382,6 @@
     serve(16, 5, story)
 
 
-# --- reading everything ------------------------------------------------------------------
-
-
-class ScriptedKeys:
-    """The state service's keys, with failures by the number of the request."""
-
-    def __init__(self, keys: int, page: int) -> None:
-        self.data: dict[str, tuple[int, int]] = {f"rc/{n:04d}": (n, n + 1) for n in range(keys)}
-        self.epoch = keys
-        self.log: list[Change] = []
-        self.forgotten = 0  # changes up to that revision can't be followed any more
-        self.page_size = page
-        self.requests = 0
-        self.pages_read: list[str] = []
-        self.fail: dict[int, int] = {}
-        self.before: dict[int, Callable[[], None]] = {}
-
-    def write(self, key: str, value: int | None) -> None:
-        self.epoch += 1
-        if value is None:
-            del self.data[key]
-        else:
-            self.data[key] = (value, self.epoch)
-        self.log.append((key, value, self.epoch))
-
-    def _begin(self) -> int:
-        self.requests += 1
-        self.before.pop(self.requests, lambda: None)()
-        return self.fail.pop(self.requests, 200)
-
-    async def page(self, root: str, since: str) -> Any:
-        status = self._begin()
-        if status != 200:
-            return status, None, True
-        self.pages_read.append(since)
-        found = sorted(k for k in self.data if k > since)
-        pairs = [Pair(k, *self.data[k]) for k in found[: self.page_size]]
-        return 200, Page(pairs, self.epoch, len(found) > self.page_size), True
-
-    async def follow(self, root: str, since: int) -> Any:
-        status = self._begin()
-        if status == 200 and since < self.forgotten:
-            status = 410
-        if status != 200:
-            return status, None, True
-        return 200, ([c for c in self.log if c[2] > since], self.epoch), True
-
-    def applied(self, changes: list[Change]) -> dict[str, int]:
-        """The values that a store makes of the changes: by version, as it does."""
-        stamps: dict[str, int] = {}
-        values: dict[str, int] = {}
-        for key, value, stamp in changes:
-            if stamp > stamps.get(key, 0):
-                stamps[key] = stamp
-                if value is None:
-                    values.pop(key, None)
-                else:
-                    values[key] = value
-        return values
-
-
-def read_until_done(keys: ScriptedKeys, attempts: int) -> dict[str, int]:
-    full = FullRead(keys)
-    for number in range(attempts):
-        status, body, _ = asyncio.run(full.run("rc/"))
-        if status == 200:
-            assert body is not None and number == attempts - 1, "not one attempt too many"
-            changes, epoch = body
-            keys.log = [c for c in keys.log if c[2] > epoch]
-            return keys.applied([*changes, *keys.log])
-    raise AssertionError("not read")
-
-
-def test_a_full_read_goes_on_where_it_failed_with_what_changed_meanwhile() -> None:
-    keys = ScriptedKeys(keys=95, page=10)
-    keys.fail = {5: 503, 9: 0}
-    keys.before = {6: lambda: (keys.write("rc/0001", None), keys.write("rc/0094", 7))}  # type: ignore[assignment, dict-item, return-value]
-    values = read_until_done(keys, 3)
-    assert values == {k: v for k, (v, _) in keys.data.items()}
-    assert len(keys.pages_read) == 10 == len(set(keys.pages_read)), "no page twice"
-
-
-def test_a_full_read_that_changes_outran_begins_anew() -> None:
-    """More changed than the state service remembers, between two pages."""
-    keys = ScriptedKeys(keys=10 * (FOLLOW_EVERY + 3), page=10)
-
-    def outrun() -> None:
-        for n in range(50):
-            keys.write(f"rc/{n:04d}", None if n % 2 else 1000 + n)
-        keys.forgotten = keys.epoch
-
-    keys.before = {FOLLOW_EVERY + 1: outrun}
-    values = read_until_done(keys, 1)
-    assert values == {k: v for k, (v, _) in keys.data.items()}
-
-
-def test_a_full_read_waits_for_its_turn_and_does_not_begin_anew() -> None:
-    keys = ScriptedKeys(keys=50, page=10)
-    keys.fail = {2: 429, 3: 429}
-    assert len(read_until_done(keys, 1)) == 50
-    assert len(keys.pages_read) == 5
-
-
 # --- all at once -------------------------------------------------------------------------
 
 
--- a/tests/world.py
+++ b/tests/world.py
@@ -13,6 +13,8 @@
 from typing import Any
 
 from production import Former
+from world_gangs import GangSteps
+from world_rules import RuleChecks
 from world_settings import (
     CANCEL_S,
     FIVE,
@@ -28,6 +30,7 @@
     void,
 )
 from world_state import State
+from world_users import UserRequests
 from world_worker import Gang, Worker
 
 from runcourse.config import Operators
@@ -56,7 +59,7 @@
 ]
 
 
-class World:
+class World(UserRequests, GangSteps, RuleChecks):
     """Nodes, workers, users, the state service and the cloud on one fake clock."""
 
     def __init__(
@@ -375,201 +378,6 @@
         for late in held:
             late()
 
-    def ask(self, origin: str, member: str, event: Any, answered: Callable[[Any], None]) -> None:
-        def arrive() -> None:
-            if self.nodes[member] is None:
-                self.after(self._latency(), lambda: answered(None))
-                return
-            if not self.reachable(origin, member):
-                return
-            event.request = next(self._requests)
-
-            def reply(answer: Any) -> None:
-                if self.reachable(origin, member) and origin not in self.deaf:
-                    self.after(self._latency(), lambda: answered(answer))
-
-            self._answers[(member, self.generation[member], event.request)] = reply
-            self.feed(member, event)
-
-        self.after(self._latency(), arrive)
-        if isinstance(event, t.ReportReceived):
-            report = event.report
-
-            def again() -> None:
-                if self.nodes[member] is not None:
-                    self.feed(member, t.ReportReceived(next(self._requests), report))
-
-            self._copy(again)
-
-    # --- users -----------------------------------------------------------------------
-
-    def _user(self, member: str, event: Any) -> t.UserAnswer | None:
-        got: list[Any] = []
-        self.ask("user", member, event, got.append)
-        end = self.now + 4.0
-        while not got and self.now < end:
-            self.run(0.05)
-        return got[0] if got else None
-
-    def submit(self, job: JobSpec, member: str = "n0") -> int:
-        self.specs[job.uid] = job
-        answer = self._user(member, t.Submit(0, job.uid, job))
-        if answer is not None and answer.status in (200, 201):
-            self.note(job.uid, answer.body["stage"])
-        return answer.status if answer else 0
-
-    def poll(self, uid: str, member: str = "n0") -> str:
-        answer = self._user(member, t.Poll(0, uid))
-        if answer is None or answer.status not in (200, 404):
-            return "?"
-        stage = "unknown" if answer.status == 404 else str(answer.body["stage"])
-        self.note(uid, stage)
-        return stage
-
-    def cancel(self, uid: str, member: str = "n0") -> str:
-        answer = self._user(member, t.Cancel(0, uid))
-        if answer is None or answer.status != 200:
-            return "?"
-        self.note(uid, answer.body["stage"])
-        return str(answer.body["stage"])
-
-    def note(self, uid: str, stage: str, known: str | None = None) -> None:
-        """A user was told so. `known`: what the user had been told when the request was sent;
-        answers that cross on their way prove nothing against each other."""
-        before = known or self.told.get(uid)
-        if stage == "cancelled":
-            self.cancelled_at.setdefault(uid, self.now)
-        if before in ("done", "cancelled") and stage != before:
-            self.broken.append(f"went_back: {uid} {before} -> {stage}")
-        # Told before that it is unknown, a job was not accepted yet, if it ever was.
-        if before not in (None, "unknown") and stage == "unknown":
-            self.broken.append(f"forgotten: {uid}")
-        if stage == "done":
-            missing = [
-                i
-                for i in range(self.specs[uid].tasks)
-                if not any(x.job == uid and x.number == i for x in self.finished)
-            ]
-            if missing:
-                self.broken.append(f"not_done: {uid} lacks {missing}")
-        # Of answers that crossed the final one, or any after a 404, is what the user keeps.
-        if self.told.get(uid) not in ("done", "cancelled") and (
-            stage != "unknown" or before is None
-        ):
-            self.told[uid] = stage
-
-    # --- rules -----------------------------------------------------------------------
-
-    def on_machines(self) -> list[tuple[Any, Worker]]:
-        return [
-            (task, w)
-            for w in self.workers.values()
-            if w.alive
-            for (task, _), e in w.tasks.items()
-            if e[0] in ("running", "waiting", "saving")
-        ]
-
-    # --- gangs -----------------------------------------------------------------------
-
-    def running_gangs(self) -> set[str]:
-        return {str(uid) for (uid, _), gang in self.gangs.items() if not gang.over}
-
-    def saves(self, order: t.Order, entry: list[Any]) -> bool:
-        """A task of a running gang that is told to stop with time to save goes on doing that."""
-        job = self.specs[order.task.job]
-        gang = self.gangs.get((order.task.job, order.attempt))
-        if (
-            not job.gang
-            or gang is None
-            or gang.over
-            or entry[0] not in ("running", "saving")
-            or not job.checkpoint_s
-            or order.grace_s < job.save_s
-        ):
-            return False
-        if entry[0] == "running":
-            entry[0], entry[2] = "saving", self.now
-        if gang.told_at is None:
-            gang.told_at = self.now
-        return True
-
-    def _step_gangs(self) -> None:
-        found: dict[tuple[Any, int], list[tuple[Worker, Any, list[Any]]]] = {}
-        for worker in self.workers.values():
-            for (task, attempt), entry in worker.tasks.items():
-                if worker.alive and self.specs[task.job].gang and entry[0] != "ended":
-                    found.setdefault((task.job, attempt), []).append((worker, task, entry))
-        for key, members in found.items():
-            if key not in self.gangs:
-                ready = {task for w, task, e in members if e[0] == "waiting" and not w.hung}
-                if len(ready) == self.specs[key[0]].tasks:
-                    self.gangs[key] = Gang(self.now)
-                    self.gang_runs.append((self.now, *key))
-                    for _, _, entry in members:
-                        entry[0], entry[2] = "running", self.now
-        for key, gang in self.gangs.items():
-            if not gang.over:
-                self._step_gang(key[0], gang, found.get(key, []))
-
-    def _step_gang(
-        self, uid: Any, gang: Gang, members: list[tuple[Worker, Any, list[Any]]]
-    ) -> None:
-        job, now = self.specs[uid], self.now
-        reached = self.progress.get(uid, 0.0) + (gang.told_at or now) - gang.since
-        there = [m for m in members if m[2][0] in ("running", "saving")]
-
-        def end(cause: str, progress: float) -> None:
-            gang.over = True
-            self.progress[uid] = progress
-            for _, task, entry in there:
-                entry[0], entry[1] = "ended", cause
-                if cause == "done":
-                    self.finished.add(task)
-
-        marked = reached - reached % job.checkpoint_s if job.checkpoint_s else 0.0
-        if len(there) < job.tasks or any(w.hung for w, _, _ in there):
-            gang.broken_at = gang.broken_at or now
-            if now - gang.broken_at > 0.5 * GANG_PEER_S:
-                end("mates", marked)
-        elif gang.told_at is not None:
-            saved = [e for _, _, e in there if e[0] == "saving" and now - e[2] >= job.save_s]
-            if len(saved) == job.tasks:
-                end("stopped", reached)
-            elif now - gang.told_at > GANG_PEER_S and any(e[0] == "running" for _, _, e in there):
-                end("mates", marked)
-        elif uid not in self.failing_jobs and reached > job.estimate_s:
-            end("done", job.estimate_s)
-        elif uid in self.failing_jobs:
-            end("error", 0.0)
-
-    def check_start(self, worker: Worker, task: Any) -> None:
-        self.starts.append((self.now, task, worker.id))
-        for other, where in self.on_machines():
-            if other == task and where is not worker:
-                self.broken.append(f"ran_twice: {task} on {where.id} and {worker.id}")
-        job = self.specs[task.job]
-        used = job.cpus + sum(
-            self.specs[x.job].cpus
-            for x, _ in self.on_machines()
-            if self.specs[x.job].team == job.team
-        )
-        if used > self.settings.get("cpus_max", 16.0) + 1e-6:
-            self.broken.append(f"quota: {job.team} uses {used}")
-        if not job.spot and worker.spot:
-            self.broken.append(f"wrong_place: {task} on a spot machine")
-        if job.zone is not None and job.zone != worker.zone:
-            self.broken.append(f"wrong_place: {task} in zone {worker.zone}")
-        if job.together and any(
-            x.job == job.uid and w.zone != worker.zone for x, w in self.on_machines()
-        ):
-            self.broken.append(f"wrong_place: {task} in zone {worker.zone}, others elsewhere")
-        if job.spread:
-            here = 1 + sum(
-                1 for x, w in self.on_machines() if x.job == job.uid and w.zone == worker.zone
-            )
-            if here > (job.tasks + 1) // 2:
-                self.broken.append(f"wrong_place: {task} makes {here} in zone {worker.zone}")
-
     def _watch(self) -> None:
         self.after(0.1, self._watch)
         self.state.expire()
--- /dev/null
+++ b/tests/world_users.py
@@ -0,0 +1,94 @@
+"""What users of the scripted world ask, and what they were told."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+
+from runcourse.core import types as t
+from runcourse.core.jobs import JobSpec
+
+
+class UserRequests:
+    """The part of the world that asks nodes and keeps what was answered."""
+
+    def ask(self, origin: str, member: str, event: Any, answered: Callable[[Any], None]) -> None:
+        def arrive() -> None:
+            if self.nodes[member] is None:
+                self.after(self._latency(), lambda: answered(None))
+                return
+            if not self.reachable(origin, member):
+                return
+            event.request = next(self._requests)
+
+            def reply(answer: Any) -> None:
+                if self.reachable(origin, member) and origin not in self.deaf:
+                    self.after(self._latency(), lambda: answered(answer))
+
+            self._answers[(member, self.generation[member], event.request)] = reply
+            self.feed(member, event)
+
+        self.after(self._latency(), arrive)
+        if isinstance(event, t.ReportReceived):
+            report = event.report
+
+            def again() -> None:
+                if self.nodes[member] is not None:
+                    self.feed(member, t.ReportReceived(next(self._requests), report))
+
+            self._copy(again)
+
+    def _user(self, member: str, event: Any) -> t.UserAnswer | None:
+        got: list[Any] = []
+        self.ask("user", member, event, got.append)
+        end = self.now + 4.0
+        while not got and self.now < end:
+            self.run(0.05)
+        return got[0] if got else None
+
+    def submit(self, job: JobSpec, member: str = "n0") -> int:
+        self.specs[job.uid] = job
+        answer = self._user(member, t.Submit(0, job.uid, job))
+        if answer is not None and answer.status in (200, 201):
+            self.note(job.uid, answer.body["stage"])
+        return answer.status if answer else 0
+
+    def poll(self, uid: str, member: str = "n0") -> str:
+        answer = self._user(member, t.Poll(0, uid))
+        if answer is None or answer.status not in (200, 404):
+            return "?"
+        stage = "unknown" if answer.status == 404 else str(answer.body["stage"])
+        self.note(uid, stage)
+        return stage
+
+    def cancel(self, uid: str, member: str = "n0") -> str:
+        answer = self._user(member, t.Cancel(0, uid))
+        if answer is None or answer.status != 200:
+            return "?"
+        self.note(uid, answer.body["stage"])
+        return str(answer.body["stage"])
+
+    def note(self, uid: str, stage: str, known: str | None = None) -> None:
+        """A user was told so. `known`: what the user had been told when the request was sent;
+        answers that cross on their way prove nothing against each other."""
+        before = known or self.told.get(uid)
+        if stage == "cancelled":
+            self.cancelled_at.setdefault(uid, self.now)
+        if before in ("done", "cancelled") and stage != before:
+            self.broken.append(f"went_back: {uid} {before} -> {stage}")
+        # Told before that it is unknown, a job was not accepted yet, if it ever was.
+        if before not in (None, "unknown") and stage == "unknown":
+            self.broken.append(f"forgotten: {uid}")
+        if stage == "done":
+            missing = [
+                i
+                for i in range(self.specs[uid].tasks)
+                if not any(x.job == uid and x.number == i for x in self.finished)
+            ]
+            if missing:
+                self.broken.append(f"not_done: {uid} lacks {missing}")
+        # Of answers that crossed the final one, or any after a 404, is what the user keeps.
+        if self.told.get(uid) not in ("done", "cancelled") and (
+            stage != "unknown" or before is None
+        ):
+            self.told[uid] = stage
