--- a/tools/measure_loopback_fleet.py
+++ b/tools/measure_loopback_fleet.py
@@ -91,6 +91,8 @@
         self.session, self.tick, self.baton = 1, 0, 0
         self.legs: dict[tuple[str, int], dict[str, Any]] = {}
         self.connections = self.failures = 0
+        self.served = False  # was any report answered with 200?
+        self.leases_lost = self.tasks_lost = 0  # once it was served
         self.renewed = time.monotonic()
         self.link: tuple[asyncio.StreamReader, asyncio.StreamWriter] | None = None
 
@@ -127,6 +129,8 @@
         while True:
             sent = time.monotonic()
             if sent - self.renewed > self.lease_s:
+                self.leases_lost += self.served
+                self.tasks_lost += sum(leg["stage"] == "running" for leg in self.legs.values())
                 self.session, self.tick = self.session + 1, 0
                 self.legs.clear()
                 self.renewed = sent
@@ -139,7 +143,7 @@
                 self.close()
                 status, body = 0, {}
             if status == 200 and session == self.session and body["baton"] >= self.baton:
-                self.renewed = sent
+                self.renewed, self.served = sent, True
                 self.obey(body)
                 await asyncio.sleep(self.report_s * random.uniform(0.75, 1.25))
             elif status == 421 and body.get("steward"):
@@ -196,7 +200,9 @@
     for task in tasks:
         task.cancel()
     told = {
-        "sessions_lost": sum(w.session - 1 for w in workers),
+        "sessions_before_served": sum(w.session - 1 - w.leases_lost for w in workers),
+        "leases_lost": sum(w.leases_lost for w in workers),
+        "tasks_lost": sum(w.tasks_lost for w in workers),
         "connections": sum(w.connections for w in workers),
         "failed_reports": sum(w.failures for w in workers),
         "running": sum(leg["stage"] == "running" for w in workers for leg in w.legs.values()),
