Finishes of many jobs take half of the rate of changes at the most

Change: finishes that do not complete a job are stored less often when many jobs have some, so that they take half of the node's rate at the most; what completes a job goes at once, as before. They hold no room, and the workers list them until they are stored.

Ruled out: machine records in common pages, which the version in production does not read; one that came back would not know machines that may hold tasks.

Tests: the one added and its module.

--- a/runcourse/core/finishes.py
+++ b/runcourse/core/finishes.py
@@ -14,7 +14,8 @@
 from .types import Condition, Write
 from .work import Work
 
-FLUSH_GAP_S = 1.0  # between two stored changes of one job that do not complete it
+FLUSH_GAP_S = 1.0  # between two stored changes of one job that do not complete it, at the least
+FLUSH_PART = 0.5  # of the rate of changes, that those take at the most
 RETRY_STORE_S = 0.3  # after a change that was not stored
 LOOK_AGAIN_S = 0.05  # while this node may not act for the share
 RETRY_REJECTED_S = 5.0  # after one that was too large
@@ -49,9 +50,14 @@
             return  # scheduled when that is answered
         at = work.retry_at
         if not self._complete(work):
-            at = max(at, later(work.flushed_at, FLUSH_GAP_S))
+            at = max(at, later(work.flushed_at, self._gap_s()))
         self._look_at(work.job.uid, at)
 
+    def _gap_s(self) -> float:
+        """Many jobs at once store their finishes less often, or nothing else could be stored. What
+        waits holds no room, and the workers still list it."""
+        return max(FLUSH_GAP_S, len(self._unstored) / (FLUSH_PART * self.store.affordable(1.0)))
+
     def _look_at(self, uid: JobId, at: Instant) -> None:
         if at < self._due_at.get(uid, ALWAYS):
             self._due_at[uid] = at
--- a/tests/test_many.py
+++ b/tests/test_many.py
@@ -249,6 +249,25 @@
     assert asked[20:] == [works[40].job.uid], "what completes a job does not wait"
 
 
+def test_finishes_of_many_jobs_leave_changes_to_others() -> None:
+    """Each of hundreds of arrays stored a change a second: more than the state service takes."""
+    node, machine = owner_of_some(ready())
+    finishes, now = node.scheduler.finishes, node.context.now
+    node.store._writes.rate = 20.0
+    assert finishes._gap_s() == FLUSH_GAP_S
+    for n in range(100):
+        job = Job(spec(f"j-1{n:05d}", tasks=5), Stamp(machine.share.epoch + 1))
+        node.scheduler._open(job, machine.share.number)
+        work = node.scheduler.work[job.uid]
+        work.flushed_at = now
+        finishes.add(work, 0)
+    assert 100 / finishes._gap_s() <= 0.5 * 20.0
+    assert finishes._due_at[JobId("j-100099")] >= now + 9.9
+    for number in range(1, 5):
+        finishes.add(node.scheduler.work[JobId("j-100099")], number)
+    assert finishes._due_at[JobId("j-100099")] <= now, "what completes a job does not wait"
+
+
 def test_news_of_cancellations_is_found_by_revision() -> None:
     jobs = Jobs()
     order = list(range(1, 200))
