Returns go at the owner's urgency again, within 0.3 s of the write budget with transfers

Looked for what differs there at the peaks: returns waited behind all other changes, so that at a busy moment an emptied machine stayed marked as moving, of no use to the work that had come meanwhile, and the changes open at once that transfers need were taken by returns.

--- a/runcourse/core/transfers.py
+++ b/runcourse/core/transfers.py
@@ -27,7 +27,7 @@
 from .types import Condition, SendToPeer, Write
 
 VACATE_S = 15.0  # within which a machine promised to another share must be empty
-CHANGES_OPEN_S = 0.5  # records changed at once: what the write budget pays for in that time
+CHANGES_OPEN_S = 0.3  # records changed at once: what the write budget pays for in that time
 YIELD_S = 45.0  # within which a machine that another share asked for must fall empty
 
 
@@ -68,7 +68,7 @@
             case ReturnMachine():
                 machine = self._free(request.machine)
                 if machine is not None:
-                    self.change_record(machine, Store.LATER, leaving=True)
+                    self.change_record(machine, leaving=True)
             case TransferMachine():
                 machine = self._free(request.machine)
                 if machine is not None and self._other(machine.share.number, request.share):
@@ -95,7 +95,7 @@
     def _other(self, share: ShareNo, to: ShareNo) -> bool:
         return to != share and 0 <= to < len(self.context.members)
 
-    def change_record(self, machine: Machine, urgency: int = Store.OWNER, **changes: Any) -> None:
+    def change_record(self, machine: Machine, **changes: Any) -> None:
         """Give a machine away or mark it leaving; nothing new goes there from now on."""
         machine.moving = True
         self._changing += 1
@@ -113,7 +113,6 @@
                 ],
                 [Write(MACHINE + machine.id, record.value(**changes))],
                 done,
-                urgency,
             )
 
         def done(result: CommitResult, stamp: Stamp) -> None:
