Read once more: one page size of the list, one limit for missed reports, a plain sentence

The page of the cloud's list stood in net/clients and in core/inventory, the limit from which a report counts as missed in two methods of Fleet; Adoption had a method that only a test called. The opening of core/authority on quorum grants was no sentence. Behaviour is as before.

--- a/runcourse/core/adoption.py
+++ b/runcourse/core/adoption.py
@@ -83,9 +83,6 @@
         self._queue: deque[MachineId] = deque()
         self._open = 0  # transactions
 
-    def __contains__(self, id: MachineId) -> bool:
-        return id in self._adopting
-
     def adopting(self) -> MachineGroups:
         """The machines that are being recorded."""
         return self._groups
--- a/runcourse/core/authority.py
+++ b/runcourse/core/authority.py
@@ -2,8 +2,8 @@
 
 A node acts until the time-to-live of its lease has passed since it last *sent* a renewal
 that succeeded and a catch-up read that succeeded. Beyond that it acts only while a
-majority, itself included, grants it: each that it too has no contact with the state service. Then
-the leases stand still and nobody can have taken anything over.
+majority, itself included, grants it more time, each because it too has no contact with the
+state service: then the leases stand still and nobody can have taken anything over.
 """
 
 from __future__ import annotations
@@ -21,7 +21,7 @@
 from .versions import VERSION, Versions
 
 FAILED_LATELY_S = 2.0  # beyond the longest wait for an answer of the state service
-MAX_CANCELLATIONS_IN_GRANT = 200  # the more are withheld with the grant
+MAX_CANCELLATIONS_IN_GRANT = 200  # with more, the grant is withheld
 
 
 class Authority:
--- a/runcourse/core/machines.py
+++ b/runcourse/core/machines.py
@@ -271,22 +271,24 @@
         """Seconds since the machine was heard."""
         return self.context.now - machine.heard
 
+    def _overdue_since(self) -> float:
+        """Machines that were not heard since then have missed a report."""
+        return self.context.now - 1.25 * self.context.platform.settings.workers.report_s - 1.5
+
     def silent(self) -> list[str]:
         """Machines of the shares owned here whose reports are overdue."""
-        limit = 1.25 * self.context.platform.settings.workers.report_s + 1.5
         return [
             machine.id
             for number in self.shares.owned
-            for machine in self.of_share(number).not_heard_since(self.context.now - limit)
+            for machine in self.of_share(number).not_heard_since(self._overdue_since())
         ]
 
     def all_heard(self, share: ShareNo) -> bool:
         """Are all machines of the share that ever came up heard, and reached?"""
-        limit = 1.25 * self.context.platform.settings.workers.report_s + 1.5
         machines = self.of_share(share)
         return not any(
             m.heard >= 0
-            for found in (machines.suspected(), machines.not_heard_since(self.context.now - limit))
+            for found in (machines.suspected(), machines.not_heard_since(self._overdue_since()))
             for m in found
         )
 
--- a/runcourse/net/clients.py
+++ b/runcourse/net/clients.py
@@ -10,6 +10,7 @@
 
 from ..core import types as t
 from ..core.ids import ALWAYS
+from ..core.inventory import LIST_PAGE
 from ..wire import cloud_messages, codec, state_messages
 from ..wire import messages as wire
 from .full_read import FullRead
@@ -24,7 +25,6 @@
 CLOUD_S = 8.0
 COMMAND_S = 2.0
 PAGE = 1000  # keys, by the protocol
-CLOUD_PAGE = 500  # machines, by the protocol
 
 Result = tuple[int, Any, bool]
 
@@ -156,7 +156,7 @@
         since: str | None = None
         while True:
             status, body, sent = await self._paced(
-                "GET", cloud_messages.list_path(since, CLOUD_PAGE), None, cloud_messages.cloud_list
+                "GET", cloud_messages.list_path(since, LIST_PAGE), None, cloud_messages.cloud_list
             )
             if status != 200:
                 return status, None, sent
--- a/tests/test_many.py
+++ b/tests/test_many.py
@@ -191,7 +191,7 @@
     node.store._flush()
     alone = [e.then[0].key for e in node.context.effects if isinstance(e, t.Commit)]
     assert sorted(alone) == [MACHINE + machine.id for machine in found[1:]]
-    assert found[0].id not in node.rental.adoption
+    assert found[0].id not in node.rental.adoption._adopting
 
 
 def test_returning_a_fleet_leaves_room_for_users_and_machines_for_work() -> None:
