--- a/runcourse/core/adoption.py
+++ b/runcourse/core/leader/adoption.py
@@ -6,16 +6,16 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
-from .context import Context
+from ..context import Context
+from ..ids import ABSENT, MachineId, ShareNo, Stamp, Team
+from ..machine import Record
+from ..machine_groups import MachineGroups
+from ..machines import Fleet
+from ..shares import Shares
+from ..store import CommitResult, Store
+from ..stored_values import MACHINE
+from ..types import Condition, Write
 from .demand import LoadReport
-from .ids import ABSENT, MachineId, ShareNo, Stamp, Team
-from .machine import Record
-from .machine_groups import MachineGroups
-from .machines import Fleet
-from .shares import Shares
-from .store import CommitResult, Store
-from .stored_values import MACHINE
-from .types import Condition, Write
 
 MOST_OPEN = 2  # transactions of records under way at once
 
--- a/runcourse/core/balance.py
+++ b/runcourse/core/leader/balance.py
@@ -2,14 +2,14 @@
 
 from __future__ import annotations
 
-from ..wire.peer_messages import TransferMachine, VacateMachine, YieldMachines
-from .context import Context
+from ...wire.peer_messages import TransferMachine, VacateMachine, YieldMachines
+from ..context import Context
+from ..ids import Instant, ShareNo
+from ..machines import Fleet
+from ..placement import fits_times
+from ..shares import Shares
 from .demand import Demand, LoadReport, serves
 from .fleet_view import IdleMachines
-from .ids import Instant, ShareNo
-from .machines import Fleet
-from .placement import fits_times
-from .shares import Shares
 from .transfers import MachineTransfers
 
 VACATE_AFTER_S = 2.0  # work that cheap machines can't take waits so long for an empty one
--- a/runcourse/core/boots.py
+++ b/runcourse/core/leader/boots.py
@@ -4,10 +4,10 @@
 
 from collections import deque
 
-from .context import Context
-from .ids import Instant, MachineId
-from .machines import Fleet
-from .types import MachineType
+from ..context import Context
+from ..ids import Instant, MachineId
+from ..machines import Fleet
+from ..types import MachineType
 
 LATE_LEAST = 1.5  # times a type's boot time that a boot usually takes at the most
 LATE_MOST = 4.0  # and when boots lately took longer, the longest that is waited for one
--- a/runcourse/core/catalogue.py
+++ b/runcourse/core/leader/catalogue.py
@@ -4,15 +4,15 @@
 
 from typing import Any
 
-from .context import Context
-from .ids import LONG_AGO
+from ..context import Context
+from ..ids import LONG_AGO
+from ..machines import Fleet
+from ..sizes import json_size
+from ..store import Store
+from ..stored_values import CATALOG, TYPES
+from ..types import MachineType, Outcome, ReadCatalog, Write
+from ..versions import Versions
 from .leadership import Leadership
-from .machines import Fleet
-from .sizes import json_size
-from .store import Store
-from .stored_values import CATALOG, TYPES
-from .types import MachineType, Outcome, ReadCatalog, Write
-from .versions import Versions
 
 CATALOG_EVERY_S = 30.0
 CATALOG_FIRST_S = 1.0  # while no type is known
--- a/runcourse/core/demand.py
+++ b/runcourse/core/leader/demand.py
@@ -5,13 +5,13 @@
 from collections.abc import Iterable
 from typing import NamedTuple
 
-from ..wire.peer_messages import DemandEntry, MachineLoad, ShareLoad
-from .context import Context
-from .ids import Instant, ShareNo
-from .machine import Machine
-from .machines import Fleet
-from .placement import Size, fits_times
-from .scheduler import Scheduler
+from ...wire.peer_messages import DemandEntry, MachineLoad, ShareLoad
+from ..context import Context
+from ..ids import Instant, ShareNo
+from ..machine import Machine
+from ..machines import Fleet
+from ..placement import Size, fits_times
+from ..scheduler import Scheduler
 
 Place = tuple[str, str, bool]  # type, zone, spot
 LOAD_VALID_S = 5.0  # for which an owner's word on its share counts
--- a/runcourse/core/fleet_view.py
+++ b/runcourse/core/leader/fleet_view.py
@@ -8,12 +8,12 @@
 
 from typing import NamedTuple
 
-from ..wire.peer_messages import MachineLoad, ShareLoad
+from ...wire.peer_messages import MachineLoad, ShareLoad
+from ..context import Context
+from ..ids import Instant, MachineId, ShareNo
+from ..machine import Record
+from ..machines import Fleet
 from .boots import Boots
-from .context import Context
-from .ids import Instant, MachineId, ShareNo
-from .machine import Record
-from .machines import Fleet
 
 
 class IdleMachine(NamedTuple):
--- a/runcourse/core/hiring.py
+++ b/runcourse/core/leader/hiring.py
@@ -6,17 +6,17 @@
 from collections import Counter
 from typing import NamedTuple
 
+from ..context import Context
+from ..ids import START, Instant, MachineId, ShareNo, later
+from ..machines import Fleet
+from ..placement import fits_times
+from ..store import Store
+from ..stored_values import LEADER
+from ..types import MachineType, Outcome, Rent
 from .adoption import Adoption, FoundMachine
 from .boots import Boots
-from .context import Context
 from .demand import Demand, Place, serves
-from .ids import START, Instant, MachineId, ShareNo, later
 from .leadership import Leadership
-from .machines import Fleet
-from .placement import fits_times
-from .store import Store
-from .stored_values import LEADER
-from .types import MachineType, Outcome, Rent
 
 MAX_HIRE = 50  # machines in one request, by the protocol
 LEAST_PAUSE_S = 4.0  # after a refusal; twice as long each time
--- a/runcourse/core/inventory.py
+++ b/runcourse/core/leader/inventory.py
@@ -7,12 +7,9 @@
 import math
 from collections.abc import Callable
 
-from ..wire.peer_messages import UnknownMachine
-from .adoption import Adoption, FoundMachine, halves
-from .context import Context
-from .demand import LOAD_VALID_S, LoadReport
-from .fleet_view import FleetView
-from .ids import (
+from ...wire.peer_messages import UnknownMachine
+from ..context import Context
+from ..ids import (
     LONG_AGO,
     Instant,
     MachineId,
@@ -21,10 +18,10 @@
     Stamp,
     creation_order,
 )
-from .machines import Fleet
-from .store import CommitResult, Store
-from .stored_values import MACHINE, GoneMachine
-from .types import (
+from ..machines import Fleet
+from ..store import CommitResult, Store
+from ..stored_values import MACHINE, GoneMachine
+from ..types import (
     CloudMachine,
     Condition,
     ListMachines,
@@ -35,6 +32,9 @@
     SendToPeer,
     Write,
 )
+from .adoption import Adoption, FoundMachine, halves
+from .demand import LOAD_VALID_S, LoadReport
+from .fleet_view import FleetView
 
 MAX_RELEASE = 100  # machines in one request, by the protocol
 LIST_PAGE = 500  # the same, in one page of the list
--- a/runcourse/core/leadership.py
+++ b/runcourse/core/leader/leadership.py
@@ -2,12 +2,12 @@
 
 from __future__ import annotations
 
-from .authority import Authority
-from .context import Context
-from .ids import ABSENT, Stamp
-from .store import CommitResult, Store
-from .stored_values import LEADER, LeaderValue
-from .types import Condition, Write
+from ..authority import Authority
+from ..context import Context
+from ..ids import ABSENT, Stamp
+from ..store import CommitResult, Store
+from ..stored_values import LEADER, LeaderValue
+from ..types import Condition, Write
 
 
 class Leadership:
--- a/runcourse/core/rental.py
+++ b/runcourse/core/leader/rental.py
@@ -4,29 +4,29 @@
 
 import math
 
-from ..wire.peer_messages import ReturnMachine, ShareLoad
+from ...wire.peer_messages import ReturnMachine, ShareLoad
+from ..authority import Authority
+from ..context import Context
+from ..ids import LONG_AGO, Instant, MachineId, Member, ShareNo
+from ..machine import Record
+from ..machines import Fleet
+from ..placement import fits_times
+from ..scheduler import Scheduler
+from ..shares import Shares
+from ..store import Store
+from ..types import MachineType, SendToPeer
+from ..versions import LOADS_IN_PAGES, Versions
 from .adoption import Adoption
-from .authority import Authority
 from .balance import Balance
 from .boots import Boots
 from .catalogue import Catalogue
-from .context import Context
 from .demand import LOAD_VALID_S, Demand, LoadPages, LoadReport, Place, serves, share_load
 from .fleet_view import FleetView
 from .hiring import Hiring
-from .ids import LONG_AGO, Instant, MachineId, Member, ShareNo
 from .inventory import Inventory
 from .leadership import Leadership
-from .machine import Record
-from .machines import Fleet
-from .placement import fits_times
-from .scheduler import Scheduler
-from .shares import Shares
 from .spare_capacity import SpareCapacity
-from .store import Store
 from .transfers import MachineTransfers
-from .types import MachineType, SendToPeer
-from .versions import LOADS_IN_PAGES, Versions
 
 LOAD_EVERY_S = 0.25
 PLAN_EVERY_S = 0.5
--- a/runcourse/core/spare_capacity.py
+++ b/runcourse/core/leader/spare_capacity.py
@@ -4,16 +4,16 @@
 
 from collections import deque
 
-from ..wire.peer_messages import DrainMachines, ReturnMachine
-from .context import Context
+from ...wire.peer_messages import DrainMachines, ReturnMachine
+from ..context import Context
+from ..ids import Instant, ShareNo, Team, later
+from ..machines import Fleet
+from ..shares import Shares
+from ..types import MachineType
 from .demand import LoadReport
 from .fleet_view import IdleMachines
-from .ids import Instant, ShareNo, Team, later
 from .inventory import MAX_RELEASE
-from .machines import Fleet
-from .shares import Shares
 from .transfers import MachineTransfers
-from .types import MachineType
 
 SUM_EVERY_S = 30.0  # between two log lines on the whole fleet
 LEAST_PAID_S = 60.0  # a machine is paid for so long at the least
--- a/runcourse/core/transfers.py
+++ b/runcourse/core/leader/transfers.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable
 from typing import Any
 
-from ..wire.peer_messages import (
+from ...wire.peer_messages import (
     DrainMachines,
     MachineRequest,
     ReturnMachine,
@@ -15,16 +15,16 @@
     VacateMachine,
     YieldMachines,
 )
-from .context import Context
+from ..context import Context
+from ..ids import Instant, MachineId, ShareNo, Stamp
+from ..machine import Machine
+from ..machines import Fleet
+from ..scheduler import Scheduler
+from ..shares import Shares
+from ..store import CommitResult, Store
+from ..stored_values import MACHINE
+from ..types import Condition, SendToPeer, Write
 from .demand import Demand, serves
-from .ids import Instant, MachineId, ShareNo, Stamp
-from .machine import Machine
-from .machines import Fleet
-from .scheduler import Scheduler
-from .shares import Shares
-from .store import CommitResult, Store
-from .stored_values import MACHINE
-from .types import Condition, SendToPeer, Write
 
 VACATE_S = 15.0  # within which a machine promised to another share must be empty
 CHANGES_OPEN_S = 0.3  # records changed at once: what the write budget pays for in that time
--- a/runcourse/core/node.py
+++ b/runcourse/core/node.py
@@ -27,10 +27,10 @@
 from .context import Context
 from .ids import LONG_AGO, Instant, JobId, MachineId, Member, ShareNo, Stamp
 from .jobs import DONE, JOB, PART, PART_BITS, Jobs
+from .leader.rental import Rental
 from .machines import Fleet
 from .policy import NoPolicy, PlacementPolicy
 from .quota import Quota
-from .rental import Rental
 from .scheduler import Scheduler
 from .shares import Holding, Shares
 from .store import Store
--- a/runcourse/net/clients.py
+++ b/runcourse/net/clients.py
@@ -10,7 +10,7 @@
 
 from ..core import types as t
 from ..core.ids import ALWAYS
-from ..core.inventory import LIST_PAGE
+from ..core.leader.inventory import LIST_PAGE
 from ..wire import cloud_messages, codec, state_messages
 from ..wire import messages as wire
 from .full_read import FullRead
--- a/tests/test_fleet_indexes.py
+++ b/tests/test_fleet_indexes.py
@@ -129,7 +129,7 @@
     page = 2 if seed % 3 else 500  # small pages, so that small worlds are told of in several
     with (
         patch("runcourse.core.migrations.MIN_RUNTIME_S", 1.0),
-        patch("runcourse.core.demand.LOAD_PAGE", page),
+        patch("runcourse.core.leader.demand.LOAD_PAGE", page),
         patch("runcourse.core.running_counts.RUNNING_PAGE", page),
         checked() as done,
     ):
--- a/tests/test_gang_placement.py
+++ b/tests/test_gang_placement.py
@@ -5,8 +5,8 @@
 from gang_stories import UID, fresh, gang, machines_of, node_of_team, runs, work_of
 from world import World, spec
 
-from runcourse.core.demand import LoadReport, share_load
-from runcourse.core.hiring import HireOption
+from runcourse.core.leader.demand import LoadReport, share_load
+from runcourse.core.leader.hiring import HireOption
 
 
 @BOTH
--- a/tests/test_lower_limits.py
+++ b/tests/test_lower_limits.py
@@ -16,9 +16,9 @@
 
 from runcourse.config import Operators
 from runcourse.core import types as t
-from runcourse.core.adoption import FoundMachine
 from runcourse.core.ids import Instant, JobId, MachineId, ShareNo, Stamp
 from runcourse.core.jobs import MAX_TASKS, PART_BITS, job_value, short, storable
+from runcourse.core.leader.adoption import FoundMachine
 from runcourse.core.node import Node
 from runcourse.core.order import Order
 from runcourse.core.quota import Quota
--- a/tests/test_many.py
+++ b/tests/test_many.py
@@ -13,8 +13,6 @@
 
 from runcourse.config import Operators
 from runcourse.core import types as t
-from runcourse.core.adoption import MOST_OPEN, FoundMachine
-from runcourse.core.demand import LOAD_PAGE, LOAD_VALID_S, LoadPages
 from runcourse.core.finishes import FLUSH_GAP_S
 from runcourse.core.ids import (
     COUNTER_BITS,
@@ -27,13 +25,15 @@
     highest_epoch,
     make_attempt,
 )
-from runcourse.core.inventory import LIST_PAGE
 from runcourse.core.jobs import Job, Jobs, job_value
+from runcourse.core.leader.adoption import MOST_OPEN, FoundMachine
+from runcourse.core.leader.demand import LOAD_PAGE, LOAD_VALID_S, LoadPages
+from runcourse.core.leader.inventory import LIST_PAGE
+from runcourse.core.leader.transfers import CHANGES_OPEN_S
 from runcourse.core.node import Node
 from runcourse.core.running_counts import RUNNING_PAGE, PeerCounts, RunningPages
 from runcourse.core.shares import Holding
 from runcourse.core.stored_values import MACHINE, GoneMachine, MachineValue
-from runcourse.core.transfers import CHANGES_OPEN_S
 from runcourse.core.users import FAIR_BACKLOG_S
 from runcourse.core.versions import LOADS_IN_PAGES
 from runcourse.net.http import TURNED_AWAY_PER_ROTATION, Client, Server
@@ -150,7 +150,7 @@
     node.rental._pages = {}
     node.context.effects.clear()
     with pytest.MonkeyPatch.context() as patched:
-        patched.setattr("runcourse.core.demand.LOAD_PAGE", 1)
+        patched.setattr("runcourse.core.leader.demand.LOAD_PAGE", 1)
         assert not node.versions.reads(Member(old), LOADS_IN_PAGES)
         node.rental._tell_load()
     sent = [e.message for e in node.context.effects if isinstance(e, t.SendToPeer)]
@@ -341,7 +341,7 @@
 def test_an_upgrade_while_loads_are_told_in_pages() -> None:
     """Former leaders get every machine at once; replicas stay, and empty machines are returned."""
     with pytest.MonkeyPatch.context() as patched:
-        patched.setattr("runcourse.core.demand.LOAD_PAGE", 2)
+        patched.setattr("runcourse.core.leader.demand.LOAD_PAGE", 2)
         patched.setattr("runcourse.core.running_counts.RUNNING_PAGE", 2)
         world = World(machines=15, former=True, cpus_max=100.0)
         world.run(4.0)
