What workers report and are told in a module of its own: no import circle with peer messages

Cause: core/types imported wire/peer_messages for types only, which imported core/types. Change: Report, TaskReport and Order live in core/worker_values, which both import.

--- a/runcourse/core/types.py
+++ b/runcourse/core/types.py
@@ -2,27 +2,26 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, Any, NamedTuple
+from typing import Any, NamedTuple
 
 import msgspec
 
+from ..wire.peer_messages import PeerMessage
 from .ids import (
     ALWAYS,
     NO_TOKEN,
-    Attempt,
     Instant,
     MachineId,
     Member,
     Session,
     Stamp,
-    TaskId,
     Token,
 )
 from .jobs import JobSpec
 from .placement import Size
-
-if TYPE_CHECKING:
-    from ..wire.peer_messages import PeerMessage
+from .worker_values import Order as Order
+from .worker_values import Report as Report
+from .worker_values import TaskReport as TaskReport
 
 
 class MachineType(NamedTuple):
@@ -57,40 +56,6 @@
     age_s: float
 
 
-class TaskReport(NamedTuple):
-    """What a worker says of one task."""
-
-    task: TaskId
-    attempt: Attempt
-    stage: str  # fetching, waiting (for its gang), running, saving, ended
-    cause: str = ""  # when ended: done, stopped, error, full, busy, unknown, mates, incomplete
-    saved: bool = False
-
-
-class Report(NamedTuple):
-    """What a worker says of itself and its tasks."""
-
-    machine: MachineId
-    addr: str
-    type: str
-    zone: str
-    spot: bool
-    session: Session
-    seq: int
-    token: Token
-    notice_s: float | None
-    tasks: tuple[TaskReport, ...]
-
-
-class Order(NamedTuple):
-    """What a worker is told to do with one task."""
-
-    op: str  # start, stop, forget
-    task: TaskId
-    attempt: Attempt
-    grace_s: float = 0.0
-
-
 # --- inputs ------------------------------------------------------------------------------
 
 
--- a/runcourse/wire/peer_messages.py
+++ b/runcourse/wire/peer_messages.py
@@ -13,7 +13,7 @@
 from msgspec import UNSET, Struct, UnsetType, field
 
 from ..core.ids import Incarnation, JobId, MachineId, Member, Session, ShareNo, Stamp, Token
-from ..core.types import Order, Report
+from ..core.worker_values import Order, Report
 
 UNKNOWN_KIND = "unknown kind"
 _KIND = re.compile(rb'"t":"([a-z?]{1,20})"')
