--- /dev/null
+++ b/runcourse/entitlements/__init__.py
@@ -0,0 +1,1 @@
+"""Entitlements: one pool of machines divided among organisations while it serves."""
