--- a/runcourse/client.py
+++ b/runcourse/client.py
@@ -55,10 +55,10 @@
     return "GET", f"/v1/jobs/{what}", None
 
 
-def ask(host: str, port: int, question: str) -> dict[str, Any]:
+def ask(host: str, port: int, question: OperatorQuestion) -> dict[str, Any]:
     """Ask a controller's internal address; one JSON line each way."""
     with socket.create_connection((host, port), timeout=5.0) as link:
-        link.sendall(msgspec.json.encode(OperatorQuestion(question)) + b"\n")
+        link.sendall(msgspec.json.encode(question) + b"\n")
         with link.makefile("rb") as answer:
             return msgspec.json.decode(answer.readline(), type=dict[str, Any])
 
@@ -66,7 +66,7 @@
 def _ask_or_report(internal: str, question: str) -> dict[str, Any] | int:
     """The answer, or the exit code after the reason was printed."""
     try:
-        return ask(*address(internal, "--internal"), question)
+        return ask(*address(internal, "--internal"), OperatorQuestion(question))
     except SettingsError as problem:
         print(f"runcourse: {problem}", file=sys.stderr)
         return EXIT_USAGE
--- a/runcourse/core/leader/balance.py
+++ b/runcourse/core/leader/balance.py
@@ -5,11 +5,14 @@
 from ...wire.peer_messages import TransferMachine, VacateMachine, YieldMachines
 from ..context import Context
 from ..ids import Instant, ShareNo
+from ..machine import Record
 from ..machines import Fleet
 from ..placement import fits_times
 from ..shares import Shares
-from .demand import Demand, LoadReport, serves
+from ..versions import DIVISIONS, Versions
+from .demand import LOAD_VALID_S, Demand, LoadReport, serves
 from .fleet_view import IdleMachines
+from .pool import Pool
 from .transfers import MachineTransfers
 
 VACATE_AFTER_S = 2.0  # work that cheap machines can't take waits so long for an empty one
@@ -29,12 +32,17 @@
         fleet: Fleet,
         loads: dict[ShareNo, LoadReport],
         transfers: MachineTransfers,
+        pool: Pool,
+        versions: Versions,
     ) -> None:
         self.context = context
         self.shares = shares
         self.fleet = fleet
         self.loads = loads
         self.transfers = transfers
+        self.pool = pool
+        self.policy = pool.policy
+        self.versions = versions
         self._vacate_at = context.now
         self._balance_at = context.now
 
@@ -49,7 +57,7 @@
                 others = [
                     s
                     for s in self.shares.all()
-                    if s != share and not any(n.count > 0 for n in unmet.get(s, ()))
+                    if s != share and (self._unused(s, unmet) or self._owing(s, share))
                 ]
                 if need.block and need.count > 0 and not self._one_zone(need, others, idle):
                     continue
@@ -60,11 +68,39 @@
                         n = fits_times(need.size, type_.size)
                         if need.count <= 0 or seconds < 1.0:
                             break
-                        if n and serves(need, record.type, record.zone, record.spot):
+                        place = (record.type, record.zone, record.spot)
+                        if (
+                            n
+                            and serves(need, *place)
+                            and self._may_move(other, share, record, unmet)
+                        ):
                             need.count -= n
                             idle[other].remove(entry)
+                            self.policy.transferred(other, share, type_.cpus)
                             self.transfers.ask_owner(other, TransferMachine(id, share))
 
+    def _unused(self, share: ShareNo, unmet: dict[ShareNo, list[Demand]]) -> bool:
+        return not any(n.count > 0 for n in unmet.get(share, ()))
+
+    def _owing(self, giver: ShareNo, taker: ShareNo) -> bool:
+        """Is one short of its target, while the other holds more than its own?"""
+        return (
+            self.policy.in_force
+            and not self.policy.same(giver, taker)
+            and self.policy.short(taker)
+            and self.policy.exceeds(giver)
+        )
+
+    def _may_move(
+        self, giver: ShareNo, taker: ShareNo, record: Record, unmet: dict[ShareNo, list[Demand]]
+    ) -> bool:
+        """What its holder leaves unused is lent to whoever asks, to those short of their target
+        first; what it has use for goes only as far as it is owed."""
+        cpus = self.fleet.types[record.type].cpus
+        if self._unused(giver, unmet):
+            return not self.pool.must_wait(taker, record.type, record.zone, record.spot)
+        return self.policy.may_take(giver, taker, cpus)
+
     def _one_zone(
         self,
         need: Demand,
@@ -113,16 +149,30 @@
                     if group.share != share
                     and not group.leaving
                     and serves(need, group.type, group.zone, group.spot)
+                    and self._may_vacate(group.share, share)
                 }
             )
             if others:
                 self._vacate_at = Instant(now + VACATE_EVERY_S)
                 other = self.context.rng.choice(others)
-                self.transfers.ask_owner(other, VacateMachine(other, share, need.entry))
+                keep = not self.policy.same(other, share)
+                self.transfers.ask_owner(other, VacateMachine(other, share, need.entry, keep))
                 left -= 1
                 if not left:
                     return
 
+    def _may_vacate(self, giver: ShareNo, taker: ShareNo) -> bool:
+        """Between organisations only what is owed, and never by an owner of a former version: it
+        would stop replicas too."""
+        if self.policy.same(giver, taker):
+            return True
+        owner = self.shares.living_owner(giver)
+        return (
+            owner is not None
+            and self.versions.reads(owner, DIVISIONS)
+            and self._owing(giver, taker)
+        )
+
     def _one_machine(self, need: Demand) -> bool:
         """Would one machine, emptied, be of use?"""
         return not need.block or any(
@@ -130,32 +180,61 @@
         )
 
     def balance(self, cpus: dict[ShareNo, float]) -> None:
-        """Shares are sized by what waits and runs. While all of them are short no machine falls
-        empty by itself, so the share that has most for what it asks yields some to the one that
-        has least."""
+        """Machines in use go, as they fall empty, to shares that are owed more; then to those
+        that need them most among the shares of one organisation."""
         now = self.context.now
         if now < self._balance_at:
             return
+        asked = False
+        for giver, taker, amount in self.policy.reassignments(now):
+            asked |= self._ask_to_yield(giver, taker, amount, entitled=True)
+        for group in self._organisations():
+            asked |= self._balance_among({s: cpus[s] for s in group})
+        if asked:
+            self._balance_at = Instant(now + BALANCE_EVERY_S)
+
+    def _organisations(self) -> list[list[ShareNo]]:
+        """Shares that serve the same organisation; all of them while none are in force."""
+        groups: list[list[ShareNo]] = []
+        for share in self.shares.all():
+            for group in groups:
+                if self.policy.same(group[0], share):
+                    group.append(share)
+                    break
+            else:
+                groups.append([share])
+        return groups
+
+    def _balance_among(self, cpus: dict[ShareNo, float]) -> bool:
+        """Shares are sized by what waits and runs. While all of them are short no machine falls
+        empty by itself, so the share that has most for what it asks yields some to the one that
+        has least. Says whether there was anything to balance."""
+        now = self.context.now
         asked = {
             s: load.used + sum(n.size.cpus * n.asked for n in load.demands)
             for s, load in self.loads.items()
-            if now - load.at < 5.0
+            if s in cpus and now - load.at < LOAD_VALID_S
         }
         total, capacity = sum(asked.values()), sum(cpus[s] for s in asked)
         if len(asked) < 2 or total <= capacity or capacity <= 0:
-            return
-        self._balance_at = Instant(now + BALANCE_EVERY_S)
+            return False
         lacks = {s: capacity * asked[s] / total - cpus[s] for s in asked}
         to = max(lacks, key=lambda s: lacks[s])
         share = min(lacks, key=lambda s: lacks[s])
-        if asked[to] * cpus[share] < UNEVEN * asked[share] * cpus[to]:
-            return
+        if asked[to] * cpus[share] >= UNEVEN * asked[share] * cpus[to]:
+            # Half of it: what is asked for changes while machines fall empty.
+            self._ask_to_yield(share, to, min(lacks[to], -lacks[share]) / 2, entitled=False)
+        return True
+
+    def _ask_to_yield(self, giver: ShareNo, taker: ShareNo, cpus: float, entitled: bool) -> bool:
+        """Ask for machines that the largest part of what waits fits on."""
+        load = self.loads.get(taker)
         need = max(
-            (n for n in self.loads[to].demands if n.asked > 0),
+            (n for n in load.demands if n.asked > 0) if load is not None else (),
             key=lambda n: n.size.cpus * n.asked,
             default=None,
         )
-        # Half of it: what is asked for changes while machines fall empty.
-        half = min(lacks[to], -lacks[share]) / 2
-        if need is not None:
-            self.transfers.ask_owner(share, YieldMachines(share, to, half, need.entry))
+        if need is None:
+            return False
+        self.transfers.ask_owner(giver, YieldMachines(giver, taker, cpus, need.entry, entitled))
+        return True
--- a/runcourse/core/leader/demand.py
+++ b/runcourse/core/leader/demand.py
@@ -84,12 +84,13 @@
 class LoadReport:
     """What an owner tells of a share."""
 
-    __slots__ = ("at", "demands", "used")
+    __slots__ = ("at", "demands", "replicas", "used")
 
     def __init__(self, message: ShareLoad, at: Instant) -> None:
         self.at = at
         self.demands = [Demand(entry) for entry in message.needs]
         self.used = message.used
+        self.replicas = message.replicas
 
 
 def serves(need: Demand, type_: str, zone: str, spot: bool) -> bool:
@@ -149,13 +150,17 @@
     machines: Iterable[Machine],
     fleet: Fleet,
     scheduler: Scheduler,
+    replicas: bool = False,
 ) -> ShareLoad:
-    """What the owner of a share tells of it, and of some or all of its machines."""
+    """What the owner of a share tells of it, and of some or all of its machines; `replicas`:
+    what services use as well."""
+    owned = fleet.of_share(share)
     return ShareLoad(
         share,
-        fleet.of_share(share).used_cpus,
+        owned.used_cpus,
         {str(m.id): _machine_load(context, m) for m in machines},
         _entries(context, share, fleet, scheduler),
+        owned.lasting_cpus if replicas else 0.0,
     )
 
 
--- a/runcourse/core/leader/hiring.py
+++ b/runcourse/core/leader/hiring.py
@@ -17,6 +17,7 @@
 from .boots import Boots
 from .demand import Demand, Place, serves
 from .leadership import Leadership
+from .pool import Pool
 
 MAX_HIRE = 50  # machines in one request, by the protocol
 LEAST_PAUSE_S = 4.0  # after a refusal; twice as long each time
@@ -64,6 +65,7 @@
         fleet: Fleet,
         adoption: Adoption,
         boots: Boots,
+        pool: Pool,
     ) -> None:
         self.context = context
         self.store = store
@@ -71,6 +73,7 @@
         self.fleet = fleet
         self.adoption = adoption
         self.boots = boots
+        self.pool = pool
         self.refused: dict[Place, tuple[float, Instant]] = {}  # how long, and until when
         self._hires = 0
         self._pending: dict[str, tuple[Rent, list[ShareNo]]] = {}
@@ -129,6 +132,11 @@
         for share, demands in unmet.items():
             for demand in demands:
                 options = self._options(demand) if demand.count > 0 else []
+                options = [
+                    o
+                    for o in options
+                    if not self.pool.must_wait(share, o.type.name, o.zone, o.spot)
+                ]
                 if demand.block and options:
                     options = self._one_zone(share, demand, options)
                 if not options:
--- a/runcourse/core/leader/rental.py
+++ b/runcourse/core/leader/rental.py
@@ -7,6 +7,7 @@
 from ...wire.peer_messages import ReturnMachine, ShareLoad
 from ..authority import Authority
 from ..context import Context
+from ..entitlement import EntitlementPolicy
 from ..ids import LONG_AGO, Instant, MachineId, Member, ShareNo
 from ..machine import Record
 from ..machines import Fleet
@@ -25,6 +26,7 @@
 from .hiring import Hiring
 from .inventory import Inventory
 from .leadership import Leadership
+from .pool import Pool
 from .spare_capacity import SpareCapacity
 from .transfers import MachineTransfers
 
@@ -49,6 +51,7 @@
         fleet: Fleet,
         scheduler: Scheduler,
         versions: Versions,
+        entitlements: EntitlementPolicy,
     ) -> None:
         self.context = context
         self.store = store
@@ -81,9 +84,15 @@
             self.leadership.leader,
             self.leadership.guard,
         )
-        self.hiring = Hiring(context, store, self.leadership, fleet, self.adoption, self.boots)
+        self.entitlements = entitlements
+        self.pool = Pool(context, fleet, self.loads, entitlements)
+        self.hiring = Hiring(
+            context, store, self.leadership, fleet, self.adoption, self.boots, self.pool
+        )
         self.transfers = MachineTransfers(context, store, shares, fleet, scheduler)
-        self.balance = Balance(context, shares, fleet, self.loads, self.transfers)
+        self.balance = Balance(
+            context, shares, fleet, self.loads, self.transfers, self.pool, versions
+        )
         self.spare = SpareCapacity(context, shares, fleet, self.loads, self.transfers)
         self.versions = versions
         self._pages: dict[ShareNo, LoadPages] = {}  # of the shares owned here
@@ -107,6 +116,7 @@
         if not self.leadership.leading:
             self._led_since = None
             self.view.end()
+            self.entitlements.end()
             return
         if self._led_since is None:
             self._begin()
@@ -124,6 +134,7 @@
         self.inventory.begin()
         self.boots.clear()
         self.view.begin()
+        self.entitlements.begin(self.context.now)
         self.context.log("info", "leading")
 
     # --- what owners tell the leader -----------------------------------------------------
@@ -136,7 +147,14 @@
         whole = leader is not None and not self.versions.reads(Member(leader), LOADS_IN_PAGES)
         for share, page in pages.items():
             machines = page.all() if whole else page.next()
-            message = share_load(self.context, share, machines, self.fleet, self.scheduler)
+            message = share_load(
+                self.context,
+                share,
+                machines,
+                self.fleet,
+                self.scheduler,
+                self.entitlements.active,
+            )
             if self.leadership.leading:
                 self.handle_share_load(message)
             if leader and leader != self.context.me:
@@ -161,6 +179,7 @@
             load = self.loads.get(share)
             if load is not None and now - load.at < LOAD_VALID_S:
                 unmet[share] = self._left_over(load.demands, booting[share])
+        self.pool.observe(unmet)
         self.balance.move_idle(unmet, idle)
         self.hiring.hire_for(unmet)
         self.balance.vacate_for(unmet)
--- a/runcourse/core/leader/transfers.py
+++ b/runcourse/core/leader/transfers.py
@@ -3,8 +3,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
-from typing import Any
+from collections.abc import Callable, Collection
+from typing import Any, NamedTuple
 
 from ...wire.peer_messages import (
     DrainMachines,
@@ -31,6 +31,14 @@
 YIELD_S = 45.0  # within which a machine that another share asked for must fall empty
 
 
+class Promise(NamedTuple):
+    """A machine that goes to another share if it falls empty in time."""
+
+    to: ShareNo
+    until: Instant
+    entitled: bool = False  # to another organisation
+
+
 class MachineTransfers:
     """Carries out what the leader asks of an owner."""
 
@@ -45,7 +53,8 @@
         self._again: list[Callable[[], None]] = []
         self._again_at = Instant(0.0)
         self._changing = 0  # records whose change is under way
-        self._promised: dict[MachineId, tuple[ShareNo, Instant]] = {}  # to be given when empty
+        self._promised: dict[MachineId, Promise] = {}
+        self._resting: dict[MachineId, Instant] = {}  # until when they aren't promised again
 
     def tick(self) -> None:
         """Return silent machines, transfer promised ones, repeat changes."""
@@ -145,13 +154,16 @@
                 attempt()
 
     def _give_promised(self) -> None:
-        for id, (to, until) in list(self._promised.items()):
+        for id, promise in list(self._promised.items()):
             machine = self.fleet.machines.get(id)
-            if machine is None or self.context.now > until:
+            if machine is None or self.context.now > promise.until:
                 del self._promised[id]
+                if promise.entitled:
+                    # Closed to new work again and again, it would keep waiting work from its room.
+                    self._resting[id] = Instant(self.context.now + YIELD_S)
             elif self._may_leave(machine):
                 del self._promised[id]
-                self.change_record(machine, share=to)
+                self.change_record(machine, share=promise.to)
 
     def _yield(self, request: YieldMachines) -> None:
         """Machines of that many CPUs, those promised before included, go as they fall empty."""
@@ -159,9 +171,10 @@
         if not self.shares.may_command(share) or not self._other(share, to):
             return
         half = left = request.cpus
-        for id, (other, _) in self._promised.items():
+        resting = self._still_resting() if request.entitled else ()
+        for id, promise in self._promised.items():
             machine = self.fleet.machines.get(id)
-            if machine is not None and machine.type is not None and other == to:
+            if machine is not None and machine.type is not None and promise.to == to:
                 left -= machine.type.cpus
         for machine in self.scheduler.draining.soon_empty(
             share,
@@ -169,6 +182,7 @@
                 serves(need, m.record.type, m.record.zone, m.record.spot)
                 and m.type is not None
                 and need.size.fits(m.type.size)
+                and m.id not in resting
             ),
         ):
             assert machine.type is not None
@@ -176,7 +190,13 @@
             if machine.type.cpus <= left or half == left >= machine.type.cpus / 2:
                 left -= machine.type.cpus
                 machine.draining_until = Instant(self.context.now + YIELD_S)
-                self._promised[machine.id] = (to, machine.draining_until)
+                self._promised[machine.id] = Promise(to, machine.draining_until, request.entitled)
+
+    def _still_resting(self) -> Collection[MachineId]:
+        now = self.context.now
+        for id in [id for id, until in self._resting.items() if now >= until]:
+            del self._resting[id]
+        return self._resting
 
     def _vacate(self, request: VacateMachine) -> None:
         share, to, need = request.share, request.to, Demand(request.need)
@@ -190,11 +210,14 @@
             share,
             need.rank,
             need.size,
-            lambda m: serves(need, m.record.type, m.record.zone, m.record.spot),
+            lambda m: (
+                serves(need, m.record.type, m.record.zone, m.record.spot)
+                and not (request.keep_replicas and m.lasting > 0)
+            ),
         )
         if machine is not None:
             self.context.log("info", f"machine {machine.id}: makes way for share {to}")
-            self._promised[machine.id] = (to, Instant(self.context.now + VACATE_S))
+            self._promised[machine.id] = Promise(to, Instant(self.context.now + VACATE_S))
 
     def _return_silent(self) -> None:
         """A machine that is silent well beyond its reports is returned: once the cloud has
--- a/runcourse/core/node.py
+++ b/runcourse/core/node.py
@@ -25,6 +25,8 @@
 from .authority import Authority
 from .confirmations import Confirmations
 from .context import Context
+from .divisions import Divisions
+from .entitlement import EntitlementPolicy, NoEntitlements
 from .ids import LONG_AGO, Instant, JobId, MachineId, Member, ShareNo, Stamp
 from .jobs import DONE, JOB, PART, PART_BITS, Jobs
 from .leader.rental import Rental
@@ -37,6 +39,7 @@
 from .stored_values import LEADER
 from .types import (
     Cancel,
+    DivisionRequest,
     Health,
     Outcome,
     PeerMessageReceived,
@@ -68,6 +71,7 @@
         rng: random.Random,
         now: Instant,
         policy: PlacementPolicy | None = None,
+        entitlements: EntitlementPolicy | None = None,
     ) -> None:
         self.context = context = Context(platform, operators, rng, now=now, started=now)
         self.store = Store(context)
@@ -83,6 +87,8 @@
             self._cancellations_seen,
         )
         self.shares = Shares(context, self.store, self.authority, self._on_gain, self._on_loss)
+        self.entitlements = entitlements or NoEntitlements()
+        self.shares.deal = self.entitlements.founding
         self.quota = Quota(context)
         self.policy = policy or NoPolicy()
         self.scheduler = Scheduler(
@@ -99,6 +105,15 @@
             self.fleet,
             self.scheduler,
             self.versions,
+            self.entitlements,
+        )
+        self.divisions = Divisions(
+            context,
+            self.store,
+            self.shares,
+            self.versions,
+            self.entitlements,
+            self.rental.pool.capacity,
         )
         self.confirmations = Confirmations(
             context, self.store, self.authority, self.shares, self.jobs
@@ -156,6 +171,8 @@
                 self._peer_said(event.member, event.message)
             case Health():
                 self._health(event)
+            case DivisionRequest():
+                self.divisions.handle(event)
             case _:
                 raise TypeError(f"unknown input {event!r}")
 
@@ -165,9 +182,10 @@
         self.shares.tick()
         self.fleet.tick()
         self.scheduler.tick()
+        self.divisions.tick()
         self.rental.tick()
         if self.rental.leadership.leading:
-            self.versions.note(self.rental.leadership.guard())
+            self.versions.note(self.rental.leadership.guard(), self.entitlements.active)
         self.confirmations.tick()
         now = self.context.now
         if now >= self._gossip_at + GOSSIP_EVERY_S:
--- a/runcourse/core/status.py
+++ b/runcourse/core/status.py
@@ -78,4 +78,5 @@
         "waiting": waiting,
         "gangs": gangs,
         "locality": node.scheduler.migrations.status(),
+        "entitlements": node.entitlements.status(),
     }
--- a/runcourse/core/stored_values.py
+++ b/runcourse/core/stored_values.py
@@ -23,6 +23,7 @@
 FORMAT = ROOT + "format"  # what every member has been seen to read
 TYPES = ROOT + "types/"  # the catalogue, where one value doesn't hold it
 CATALOG = ROOT + "catalog"
+DIVISION = ROOT + "division"  # of the fleet among organisations
 
 FORMER = 1  # the version of a member whose live key names none
 
@@ -77,6 +78,32 @@
     version: int
 
 
+class OrganisationLimits(Struct, frozen=True):
+    """What one organisation is entitled to, in CPUs."""
+
+    name: str
+    minimum: float = 0.0
+    weight: float = 1.0
+    maximum: float | None = None  # None: no bound
+
+
+class Division(Struct, frozen=True):
+    """The limits of all organisations; version 0 is what the entitlements file says."""
+
+    version: int
+    limits: list[OrganisationLimits]
+    author: str = ""
+    note: str = ""
+    at: str = ""  # time of day, for people only
+
+
+class DivisionValue(Struct, frozen=True):
+    """The division in force and the last ones before it, the newest first."""
+
+    current: Division
+    past: list[Division] = []
+
+
 _KINDS: tuple[tuple[str, type[Struct]], ...] = (
     (JOB, JobValue),
     (DONE, PageValue),
@@ -87,6 +114,7 @@
     (LEADER, LeaderValue),
     (MAPPING, MappingValue),
     (FORMAT, FormatValue),
+    (DIVISION, DivisionValue),
 )
 
 
--- a/runcourse/core/types.py
+++ b/runcourse/core/types.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import Any, NamedTuple
+from typing import Any, Literal, NamedTuple
 
 import msgspec
 
@@ -19,6 +19,7 @@
 )
 from .jobs import JobSpec
 from .placement import Size
+from .stored_values import Division, OrganisationLimits
 from .worker_values import Order as Order
 from .worker_values import Report as Report
 from .worker_values import TaskReport as TaskReport
@@ -91,6 +92,18 @@
     request: int
 
 
+class DivisionRequest(msgspec.Struct):
+    """An operator's request concerning the division of the fleet among organisations."""
+
+    request: int
+    action: Literal["show", "preview", "apply", "rollback"]
+    expect: int | None = None  # the version that a change rests on
+    limits: list[OrganisationLimits] = []
+    author: str = ""
+    note: str = ""
+    at: str = ""  # time of day, for people only
+
+
 class ReportReceived(msgspec.Struct):
     """A worker's report: received here, or passed on by a peer (`relayed_by`)."""
 
@@ -147,6 +160,17 @@
     until: Instant = ALWAYS
 
 
+class DivisionAnswer(msgspec.Struct):
+    """The answer to an operator's request: what is in force, and what became of the request."""
+
+    request: int
+    result: str  # ok, refused, unreachable, unknown
+    reason: str
+    division: Division | None
+    past: list[Division]
+    targets: dict[str, float]  # CPUs by organisation, of a preview
+
+
 class ReportAnswer(msgspec.Struct):
     """A report's answer: 200 with token and orders, 421 with the owner, or 503."""
 
--- a/runcourse/core/versions.py
+++ b/runcourse/core/versions.py
@@ -1,8 +1,8 @@
 """Two versions side by side: what every member has been seen to read.
 
 A member's live key names the version of what it reads and writes; the former version's names
-none. Messages are worded for the member they go to. Once every member was last seen to read stored
-values in parts, the leader notes it in the store, and from then on they may be written.
+none. Messages are worded for the member they go to. Once every member was last seen to read some
+format of stored values, the leader notes it in the store, and from then on it may be written.
 """
 
 from __future__ import annotations
@@ -10,14 +10,15 @@
 from typing import Any
 
 from .context import Context
-from .ids import ABSENT, Member, Stamp
+from .ids import Member, Stamp
 from .store import CommitResult, Store
 from .stored_values import FORMAT, FORMER, LIVE, FormatValue
 from .types import Condition, Write
 
 PARTS_OF_FINISHES = 2  # pages of finished tasks and catalogues that go on in further values
 LOADS_IN_PAGES = 3  # load reports and running counts that tell of a part at a time
-VERSION = LOADS_IN_PAGES
+DIVISIONS = 4  # the stored division, and requests to owners that name it
+VERSION = DIVISIONS
 
 
 class Versions:
@@ -47,6 +48,12 @@
         """Has it been noted that every member reads stored values in parts?"""
         return self.store.get(FORMAT) is not None
 
+    @property
+    def divisions_read(self) -> bool:
+        """Has it been noted that every member reads stored divisions?"""
+        noted = self.store.get(FORMAT)
+        return noted is not None and noted.version >= DIVISIONS
+
     def reads(self, member: Member, version: int) -> bool:
         """Was the member last seen to read what that version brought?"""
         return self._seen.get(member, FORMER) >= version
@@ -55,13 +62,11 @@
         """None: not seen yet."""
         return {member: self._seen.get(member) for member in self.context.members}
 
-    def note(self, guard: Condition) -> None:
-        """By the leader: note that all read stored values in parts, once they do."""
-        if (
-            self._noting
-            or self.all_read
-            or not all(self.reads(m, PARTS_OF_FINISHES) for m in self.context.members)
-        ):
+    def note(self, guard: Condition, divided: bool) -> None:
+        """By the leader: note what all read, once they do; `divided`: divisions are in use."""
+        noted = self.store.get(FORMAT)
+        level = self._level(divided)
+        if self._noting or level <= (noted.version if noted else FORMER):
             return
         self._noting = True
 
@@ -71,8 +76,14 @@
         # Those that live must still be the ones that were seen.
         when = [self.store.expect(LIVE + m) for m in self.context.members]
         self.store.commit(
-            [guard, Condition(FORMAT, ABSENT), *when],
-            [Write(FORMAT, FormatValue(PARTS_OF_FINISHES))],
+            [guard, self.store.expect(FORMAT), *when],
+            [Write(FORMAT, FormatValue(level))],
             done,
             Store.LATER,
         )
+
+    def _level(self, divided: bool) -> int:
+        """The newest format of stored values that is wanted and that every member reads."""
+        wanted = (PARTS_OF_FINISHES, DIVISIONS) if divided else (PARTS_OF_FINISHES,)
+        read = [v for v in wanted if all(self.reads(m, v) for m in self.context.members)]
+        return max(read, default=FORMER)
--- a/runcourse/daemon.py
+++ b/runcourse/daemon.py
@@ -11,8 +11,11 @@
 from collections.abc import Coroutine
 from typing import Any
 
+import msgspec
+
 from .config import Operators, Platform, address
 from .core import types as t
+from .core.entitlement import EntitlementPolicy
 from .core.ids import Instant, Member
 from .core.node import Node
 from .core.status import status_of
@@ -30,6 +33,7 @@
 
 TICK_S = 0.05
 USER_S = 3.5
+DIVISION_S = 4.5
 BEAT_S = 3.5
 LEVELS = {
     "debug": logging.DEBUG,
@@ -64,6 +68,7 @@
         operators: Operators,
         rng: random.Random | None = None,
         policy_file: PolicyFile | None = None,
+        entitlements: EntitlementPolicy | None = None,
     ) -> None:
         self._platform = platform
         self._loop = asyncio.get_running_loop()
@@ -74,6 +79,7 @@
             rng or random.Random(),
             Instant(self._loop.time()),
             policy_file.make() if policy_file else None,
+            entitlements,
         )
         self._state = StateService(*address(platform.services.state, "services.state"))
         self._cloud = Cloud(
@@ -131,7 +137,7 @@
 
     def _carry_out(self, effect: Any) -> None:
         match effect:
-            case t.UserAnswer() | t.ReportAnswer():
+            case t.UserAnswer() | t.ReportAnswer() | t.DivisionAnswer():
                 question = self._questions.pop(effect.request, None)
                 if question is not None:
                     question.answered(effect)
@@ -211,13 +217,32 @@
     def _heard(self, member: Member, message: PeerMessage) -> None:
         self._feed(t.PeerMessageReceived(member, message))
 
-    def _operators_ask(self, question: OperatorQuestion) -> dict[str, Any]:
+    async def _operators_ask(self, question: OperatorQuestion) -> dict[str, Any]:
         if question.ask == "status":
             return status_of(self.node)
         if question.ask == "reload":
             return self.reload()
+        if question.ask == "division":
+            return await self._ask_division(question.division)
         return {"error": "unknown question"}
 
+    async def _ask_division(self, call: dict[str, Any]) -> dict[str, Any]:
+        try:
+            request = msgspec.convert({**call, "request": 0}, t.DivisionRequest)
+        except msgspec.ValidationError as problem:
+            return {"result": "refused", "reason": str(problem)}
+        answer: t.DivisionAnswer | None = await self._ask(request, DIVISION_S)
+        if answer is None:
+            return {"result": "unknown", "reason": "no answer in time: ask again"}
+        leader = self.node.rental.leadership.leader()
+        addresses = {p.member: p.addr for p in self._platform.peers}
+        return {
+            **msgspec.to_builtins(answer),
+            "status": self.node.entitlements.status(),
+            "leader": leader,
+            "leader_addr": addresses.get(leader or "", self._platform.internal_addr),
+        }
+
     async def _serve_internal(self, method: str, target: str, body: bytes) -> Reply:
         """Plain HTTP on the internal address: the metrics."""
         if target.partition("?")[0] != "/metrics":
--- a/runcourse/net/metrics.py
+++ b/runcourse/net/metrics.py
@@ -89,6 +89,27 @@
         yield gangs
         if node.policy.active:
             yield from self._moves()
+        if node.entitlements.active:
+            yield from self._entitlements()
+
+    def _entitlements(self) -> Iterable[Metric]:
+        """How the organisations fare, on the leader; absent while none are stated."""
+        status = self.node.entitlements.status()
+        in_force = not status["problem"]
+        yield GaugeMetricFamily(
+            "runcourse_entitlements_in_force", "1 if each share serves one organisation", in_force
+        )
+        yield GaugeMetricFamily(
+            "runcourse_division_version", "version of the division in force", status["version"]
+        )
+        cpus = GaugeMetricFamily(
+            "runcourse_organisation_cpus", "CPUs by organisation", labels=["organisation", "kind"]
+        )
+        for row in status["organisations"]:
+            for kind in ("target", "held", "lent", "debt", "lacking"):
+                if kind in row:
+                    cpus.add_metric([row["organisation"], kind], row[kind])
+        yield cpus
 
     def _moves(self) -> Iterable[Metric]:
         """What the locality policy did; absent while it is off."""
--- a/runcourse/net/peers.py
+++ b/runcourse/net/peers.py
@@ -6,7 +6,7 @@
 import contextlib
 import logging
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from typing import Any
 
 import msgspec
@@ -98,7 +98,7 @@
         me: Member,
         peers: dict[Member, tuple[str, int]],
         heard: Callable[[Member, PeerMessage], None],
-        operators_ask: Callable[[OperatorQuestion], dict[str, Any]],
+        operators_ask: Callable[[OperatorQuestion], Awaitable[dict[str, Any]]],
         http: Server,
     ) -> None:
         self._out = {m: _Outbound(me, *addr) for m, addr in peers.items()}
@@ -137,7 +137,8 @@
                 return
             first = decode_first(begun)
             if isinstance(first, OperatorQuestion):
-                writer.write(msgspec.json.encode(self._operators_ask(first)) + b"\n")
+                answer = await self._operators_ask(first)
+                writer.write(msgspec.json.encode(answer) + b"\n")
                 await writer.drain()
             elif first.member in self._out:
                 while line := await reader.readline():
--- a/runcourse/wire/peer_messages.py
+++ b/runcourse/wire/peer_messages.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import re
+from typing import Any
 
 import msgspec
 from msgspec import UNSET, Struct, UnsetType, field
@@ -103,13 +104,14 @@
     used_cpus: float
 
 
-class ShareLoad(Struct, frozen=True, tag_field="t", tag="load"):
+class ShareLoad(Struct, frozen=True, tag_field="t", tag="load", omit_defaults=True):
     """What the owner of a share tells the leader of it."""
 
     share: ShareNo
     used: float  # CPUs
     machines: dict[str, MachineLoad]
     needs: list[DemandEntry]
+    replicas: float = 0.0  # CPUs of those used, by services; told where organisations are stated
 
 
 class UnknownMachine(Struct, frozen=True, tag_field="t", tag="unknown"):
@@ -153,21 +155,23 @@
     images: list[tuple[str, float]]
 
 
-class VacateMachine(Struct, frozen=True, tag_field="t", tag="vacate"):
+class VacateMachine(Struct, frozen=True, tag_field="t", tag="vacate", omit_defaults=True):
     """The leader asks an owner to stop lesser work on a machine that another share needs."""
 
     share: ShareNo
     to: ShareNo
     need: DemandEntry
+    keep_replicas: bool = False  # stop no service, whatever its rank
 
 
-class YieldMachines(Struct, frozen=True, tag_field="t", tag="yield"):
+class YieldMachines(Struct, frozen=True, tag_field="t", tag="yield", omit_defaults=True):
     """The leader asks an owner to transfer machines as they fall empty."""
 
     share: ShareNo
     to: ShareNo
     cpus: float
     need: DemandEntry
+    entitled: bool = False  # for another organisation: a machine that didn't fall empty rests
 
 
 class RelayedReport(Struct, frozen=True, tag_field="t", tag="beat"):
@@ -209,10 +213,11 @@
 )
 
 
-class OperatorQuestion(Struct, frozen=True):
+class OperatorQuestion(Struct, frozen=True, omit_defaults=True):
     """A question of an operator's tool: one line each way on the internal address."""
 
     ask: str
+    division: dict[str, Any] = field(default_factory=dict)  # a request concerning the division
 
 
 class _FirstLine(Struct, frozen=True):
@@ -220,6 +225,7 @@
 
     member: Member | UnsetType = UNSET
     ask: str | UnsetType = UNSET
+    division: dict[str, Any] = field(default_factory=dict)
 
 
 _encoder = msgspec.json.Encoder()
@@ -247,7 +253,7 @@
     except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as problem:
         raise MalformedPeerMessage("first line", str(problem)) from problem
     if first.ask is not UNSET:
-        return OperatorQuestion(first.ask)
+        return OperatorQuestion(first.ask, first.division)
     if first.member is not UNSET:
         return Introduction(first.member)
     raise MalformedPeerMessage("first line", "names neither a member nor a question")
--- a/tests/world.py
+++ b/tests/world.py
@@ -38,6 +38,8 @@
 from runcourse.core.ids import Instant
 from runcourse.core.jobs import JobSpec
 from runcourse.core.node import Node
+from runcourse.entitlements.policy import Entitlements
+from runcourse.entitlements.settings import EntitlementSettings
 from runcourse.locality.policy import LocalityPolicy
 from runcourse.locality.settings import LocalitySettings
 from runcourse.wire.peer_messages import PeerMessage
@@ -70,6 +72,7 @@
         former: bool = False,
         locality: LocalitySettings | None = None,
         operators: Operators | None = None,
+        entitlements: EntitlementSettings | None = None,
         machine_zones: Sequence[str] = ZONES,
         **settings: Any,
     ) -> None:
@@ -82,6 +85,7 @@
         self.settings = settings
         self.locality = locality
         self.operators = operators or Operators()
+        self.entitlements = entitlements
         self.state = State(self)
         self.nodes: dict[str, Node | None] = dict.fromkeys(members)
         self.generation = dict.fromkeys(members, 0)
@@ -157,10 +161,14 @@
         self.nodes[member] = (
             Former(settings, self.operators, rng, now)  # type: ignore[assignment]
             if member in self.former
-            else Node(settings, self.operators, rng, now, self._policy(settings))
+            else self._node(settings, rng, now)
         )
         self._tick(member, self.generation[member])
 
+    def _node(self, settings: Any, rng: random.Random, now: Instant) -> Node:
+        organisations = Entitlements(self.entitlements) if self.entitlements else None
+        return Node(settings, self.operators, rng, now, self._policy(settings), organisations)
+
     def _policy(self, settings: Any) -> LocalityPolicy | None:
         if self.locality is None:
             return None
@@ -240,7 +248,7 @@
                 self.feed(member, t.Outcome(effect.tag, status, body, sent, began))
 
         match effect:
-            case t.UserAnswer() | t.ReportAnswer():
+            case t.UserAnswer() | t.ReportAnswer() | t.DivisionAnswer():
                 waiter = self._answers.pop((member, generation, effect.request), None)
                 if waiter is not None:
                     waiter(effect)
--- a/tools/measure_locality.py
+++ b/tools/measure_locality.py
@@ -28,6 +28,7 @@
 from runcourse.client import ask  # noqa: E402
 from runcourse.net.http import Client, NotSent, Reply, Unanswered  # noqa: E402
 from runcourse.wire.codec import decode_map, encode  # noqa: E402
+from runcourse.wire.peer_messages import OperatorQuestion  # noqa: E402
 
 ZONES = ("a", "b")
 WORKERS = 20
@@ -313,11 +314,11 @@
             run.truth.near = "b"
             run.write_sources()
             for _, internal in ports:
-                await asyncio.to_thread(ask, "127.0.0.1", internal, "reload")
+                await asyncio.to_thread(ask, "127.0.0.1", internal, OperatorQuestion("reload"))
     load.cancel()
     begun = 0
     for _, internal in ports:
-        status = await asyncio.to_thread(ask, "127.0.0.1", internal, "status")
+        status = await asyncio.to_thread(ask, "127.0.0.1", internal, OperatorQuestion("status"))
         begun += status["locality"].get("moves", {}).get("begun", 0)
     for controller in controllers:
         controller.kill()
--- a/tools/measure_loopback_fleet.py
+++ b/tools/measure_loopback_fleet.py
@@ -31,6 +31,7 @@
 from runcourse.client import ask  # noqa: E402
 from runcourse.net.http import Client, NotSent, Reply, Server, Unanswered  # noqa: E402
 from runcourse.wire.codec import decode_map, encode  # noqa: E402
+from runcourse.wire.peer_messages import OperatorQuestion  # noqa: E402
 
 WORKER_HOST = "127.0.0.2"
 FIRST_PORT = 20_000  # of the workers, one each
@@ -327,7 +328,7 @@
 async def operators(port: int) -> dict[str, float]:
     """How long a controller takes to show its view and its metrics."""
     began = time.monotonic()
-    view = await asyncio.to_thread(ask, "127.0.0.1", port, "status")
+    view = await asyncio.to_thread(ask, "127.0.0.1", port, OperatorQuestion("status"))
     viewed = time.monotonic()
     client = Client("127.0.0.1", port, limit=1)
     status, text = await client.request("GET", "/metrics", None, 10.0)
