Entitlements: hard cases with 3 and 5 controllers that fail, the checker, off as before

Need: the issue's hard cases, each a test. Change: scripted worlds of two organisations, a checker of who counts which machine, the division through several controllers, nodes of the version in production and of the version before, random stories that learn divisions.

--- /dev/null
+++ b/tests/test_division_command.py
@@ -0,0 +1,112 @@
+"""The `division` commands against a real controller on loopback."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+import random
+from pathlib import Path
+from typing import Any
+
+import pytest
+from standins import Standins
+
+from runcourse.cli import main
+from runcourse.config import Operators, load_platform
+from runcourse.daemon import Daemon
+from runcourse.entitlements.policy import Entitlements
+from runcourse.entitlements.settings import load_entitlements
+
+TEXT = '(entitlements (pool 64) (organisation (name "only") (teams "crew-0") (minimum 8)))'
+
+
+def division(tmp_path: Path, **numbers: Any) -> str:
+    path = tmp_path / "division.json"
+    path.write_text(json.dumps({"organisations": [{"name": "only", **numbers}]}))
+    return str(path)
+
+
+def serve(tmp_path: Path, calls: list[list[str]], stated: bool = True) -> list[int]:
+    """Exit codes of command lines given one after the other to a running controller."""
+
+    async def run() -> list[int]:
+        standins = Standins()
+        settings = tmp_path / "settings.toml"
+        settings.write_text(await standins.start(), encoding="utf-8")
+        platform = load_platform(settings)
+        policy = None
+        if stated:
+            file = tmp_path / "entitlements.sexp"
+            file.write_text(TEXT, encoding="utf-8")
+            policy = Entitlements(load_entitlements(file, platform))
+        daemon = Daemon(platform, Operators(), random.Random(1), entitlements=policy)
+        serving = asyncio.create_task(daemon.run())
+        try:
+            await asyncio.sleep(1.5)
+            address = f"127.0.0.1:{standins.internal}"
+            return [await asyncio.to_thread(main, [*call, "--internal", address]) for call in calls]
+        finally:
+            serving.cancel()
+            with contextlib.suppress(asyncio.CancelledError):
+                await serving
+            await daemon.close()
+            await standins.stop()
+
+    return asyncio.run(run())
+
+
+def test_a_division_is_shown_applied_and_rolled_back(
+    tmp_path: Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    raised = division(tmp_path, minimum=16, weight=2)
+    author = ["--author", "ops"]
+    codes = serve(
+        tmp_path,
+        [
+            ["division", "apply", raised, "--expect", "0", "--note", "release", *author],
+            ["division", "apply", raised, "--expect", "7", *author],
+            ["division", "rollback", "--expect", "1", *author],
+            ["division", "show", "--json"],
+            ["division", "watch", "--seconds", "5"],
+            ["inspect"],
+        ],
+    )
+    assert codes == [0, 1, 0, 0, 0, 0]
+    out, err = capsys.readouterr()
+    assert "expected 7, but version 1 is in force (made by ops: release)" in err
+    assert "division 2 (reached)" in out, "inspect shows the organisations"
+    shown = json.loads(out[out.index('{\n "request"') :].split("\n}\n")[0] + "\n}")
+    assert shown["division"]["version"] == 2 and shown["division"]["note"].startswith("rollback")
+    assert [former["version"] for former in shown["past"]] == [1, 0]
+    assert shown["status"]["organisations"][0]["shares"] == [0]
+
+
+@pytest.mark.parametrize(
+    ("text", "reason"),
+    [
+        ("{", "not JSON"),
+        ('{"organisations": [{"name": "only", "weight": NaN}]}', "NaN is not a number"),
+        ('{"organisations": [{"name": "only", "weight": -1}]}', "organisations[0].weight"),
+        ('{"organisations": [{"name": "only", "weight": "2"}]}', "organisations[0].weight"),
+        ('{"organisations": [{"name": "only", "teams": ["x"]}]}', "organisations[0]"),
+        ('{"organisations": []}', "organisations"),
+        ("{}", "'organisations' is a required property"),
+    ],
+)
+def test_a_faulty_file_is_refused_before_anybody_is_asked(
+    tmp_path: Path, capsys: pytest.CaptureFixture[str], text: str, reason: str
+) -> None:
+    path = tmp_path / "division.json"
+    path.write_text(text)
+    call = ["division", "apply", str(path), "--expect", "0", "--internal", "127.0.0.1:1"]
+    assert main(call) == 2
+    assert reason in capsys.readouterr().err
+
+
+def test_nobody_answers_and_no_file_is_named(
+    tmp_path: Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    assert main(["division", "show", "--internal", "127.0.0.1:1"]) == 3
+    assert serve(tmp_path, [["division", "show"]], stated=False) == [1]
+    assert "no entitlements file was named" in capsys.readouterr().err
--- /dev/null
+++ b/tests/test_entitlement_parts.py
@@ -0,0 +1,214 @@
+"""The parts of entitlements that need no controller: file, dealing, limits, reconciler."""
+
+from __future__ import annotations
+
+from pathlib import Path
+from typing import Any
+
+import pytest
+from world import platform
+
+from runcourse.core.entitlement import PoolState, Reassignment, ShareState
+from runcourse.core.ids import Instant, ShareNo
+from runcourse.core.stored_values import OrganisationLimits
+from runcourse.entitlements.founding import assign, deal, shares_of
+from runcourse.entitlements.limits import division_fault
+from runcourse.entitlements.reconciler import MOST_DWELL, Reconciler
+from runcourse.entitlements.settings import Organisation, load_entitlements
+from runcourse.errors import SettingsError
+
+GOOD = (
+    '(entitlements (pool 200) (organisation (name "a") (teams "team-0" "team-1") (weight 2))'
+    ' (organisation (name "b") (teams "team-2" "team-3") (minimum 8) (maximum 16)))'
+)
+
+
+def load(tmp_path: Path, text: str) -> Any:
+    path = tmp_path / "entitlements.sexp"
+    path.write_text(text)
+    return load_entitlements(path, platform("n0"))
+
+
+def test_a_file_is_read(tmp_path: Path) -> None:
+    read = load(tmp_path, GOOD)
+    assert [o.name for o in read.organisations] == ["a", "b"] and read.pool == 200
+    assert read.organisations[1].limits == OrganisationLimits("b", 8.0, 1.0, 16.0)
+
+
+@pytest.mark.parametrize(
+    ("change", "reason"),
+    [
+        (('"team-1"', '"team-9"'), "teams: unknown team 'team-9'"),
+        (('"team-1"', '"team-2"'), "teams: the team 'team-2' is given twice"),
+        (('"team-0" "team-1"', '"team-0"'), "in no organisation: team-1"),
+        (('"b"', '"a"'), "the name 'a' is given twice"),
+        (("(weight 2)", "(weight 0)"), "weight"),
+        (("(weight 2)", "(weight -1)"), "weight"),
+        (("(weight 2)", "(weight nan)"), "weight"),
+        (("(maximum 16)", "(maximum 4)"), "organisation[1].maximum: less than minimum"),
+        (("(minimum 8)", "(colour 8)"), "organisation[1].colour: unknown setting"),
+        (("(pool 200)", "(organisations 3)"), "organisations: unknown setting"),
+    ],
+)
+def test_a_faulty_file_is_refused(tmp_path: Path, change: tuple[str, str], reason: str) -> None:
+    with pytest.raises(SettingsError) as caught:
+        load(tmp_path, GOOD.replace(*change))
+    assert reason in str(caught.value) and "entitlements.sexp: " in str(caught.value)
+
+
+def test_more_organisations_than_shares_are_refused(tmp_path: Path) -> None:
+    each = " ".join(f'(organisation (name "o{n}") (teams "team-{n}"))' for n in range(4))
+    with pytest.raises(SettingsError, match="4 of them, but only 3 shares"):
+        load(tmp_path, f"(entitlements {each})")
+
+
+# --- dealing -----------------------------------------------------------------------------
+
+
+def organisation(name: str, teams: int, weight: float = 1.0) -> Organisation:
+    return Organisation(name, tuple(f"{name}-{n}" for n in range(teams)), weight=weight)
+
+
+@pytest.mark.parametrize(
+    ("organisations", "shares", "expected"),
+    [
+        ([organisation("a", 8), organisation("b", 12)], 3, {"a": 2, "b": 1}),
+        ([organisation("a", 8), organisation("b", 12, 2.0)], 3, {"a": 1, "b": 2}),
+        ([organisation("a", 8), organisation("b", 12, 4.0)], 5, {"a": 1, "b": 4}),
+        ([organisation("a", 1, 9.0), organisation("b", 2)], 5, {"a": 1, "b": 2}),
+        ([organisation("a", 1)], 3, {"a": 1}),
+    ],
+)
+def test_a_share_serves_one_organisation(
+    organisations: list[Organisation], shares: int, expected: dict[str, int]
+) -> None:
+    assert shares_of(organisations, shares) == expected
+    names = deal(organisations, shares)
+    assert names == deal(organisations[::-1], shares), "whoever writes it"
+    dealt = {name: ShareNo(n % shares) for n, name in enumerate(names)}
+    found = assign(organisations, lambda team: dealt[team], shares)
+    assert not found.problem
+    for name, count in expected.items():
+        assert sum(served == name for served in found.serves.values()) == count
+
+
+def test_a_store_dealt_without_organisations_is_named() -> None:
+    organisations = [organisation("a", 2), organisation("b", 2)]
+    dealt = {"a-0": 0, "a-1": 1, "b-0": 1, "b-1": 2}
+    found = assign(organisations, lambda team: ShareNo(dealt[team]), 3)
+    assert found.problem.endswith("share 1: a-1 of a; b-0 of b")
+
+
+@pytest.mark.parametrize(
+    ("limits", "fault"),
+    [
+        ([("a", 0, 1, None), ("b", 0, 1, None)], ""),
+        ([("a", 0, 1, None)], "organisations: missing: b"),
+        ([("a", 0, 1, None), ("c", 0, 1, None)], "organisations[1].name: unknown organisation 'c'"),
+        ([("a", 0, 1, None), ("a", 0, 1, None)], "organisations[0].name: 'a' is listed twice"),
+        ([("a", 60, 1, None), ("b", 41, 1, None)], "minima of 101 CPUs are above the pool of 100"),
+        ([("a", 9, 1, 8), ("b", 0, 1, None)], "organisations[0].maximum: 8 is less than"),
+        ([("a", 0, 0, None), ("b", 0, 1, None)], "organisations[0].weight"),
+        ([("a", 0, -1, None), ("b", 0, 1, None)], "organisations[0].weight"),
+        ([("a", 0, float("nan"), None), ("b", 0, 1, None)], "organisations[0].weight"),
+        ([("a", float("nan"), 1, None), ("b", 0, 1, None)], "organisations[0].minimum"),
+        ([("a", 0, 1, float("nan")), ("b", 0, 1, None)], "organisations[0].maximum"),
+        ([("a", 0, 1, 0), ("b", 0, 1, None)], "organisations[0].maximum"),
+    ],
+)
+def test_faults_of_a_division(limits: list[Any], fault: str) -> None:
+    entries = [OrganisationLimits(*entry) for entry in limits]
+    found = division_fault(entries, {"a", "b"}, {"a", "b"}, 100.0)
+    assert fault in found and bool(fault) == bool(found)
+
+
+def test_an_organisation_without_a_share_is_refused() -> None:
+    entries = [OrganisationLimits("a"), OrganisationLimits("b")]
+    assert "'b' has no share" in division_fault(entries, {"a", "b"}, {"a"}, 100.0)
+
+
+# --- reconciler --------------------------------------------------------------------------
+
+SERVES = {ShareNo(0): "a", ShareNo(1): "b"}
+LIMITS = [OrganisationLimits("a"), OrganisationLimits("b")]
+
+
+def observed(
+    reconciler: Reconciler, a: tuple[float, float], b: tuple[float, float], **changes: Any
+) -> Reconciler:
+    """Shares 0 of `a` and 1 of `b`, each with CPUs held and asked; all that is held is used."""
+    shares = [
+        ShareState(ShareNo(n), held, held, changes.get("replicas", 0.0), asked, True)
+        for n, (held, asked) in enumerate((a, b))
+    ]
+    stale = changes.get("stale")
+    if stale is not None:
+        shares[stale] = shares[stale]._replace(current=False, used=0.0, asked=0.0)
+    reconciler.observe(PoolState(shares, 4.0), SERVES, LIMITS)
+    return reconciler
+
+
+def fresh() -> Reconciler:
+    reconciler = Reconciler(5.0)
+    reconciler.begin(Instant(0.0))
+    return reconciler
+
+
+def test_it_begins_beyond_a_machine_and_stops_within_one() -> None:
+    reconciler = observed(fresh(), (20.0, 40.0), (28.0, 40.0))
+    assert reconciler.reassignments(Instant(10.0)) == [], "a machine less is not enough"
+    observed(reconciler, (16.0, 40.0), (32.0, 40.0))
+    assert reconciler.reassignments(Instant(10.0)) == [Reassignment(ShareNo(1), ShareNo(0), 8.0)]
+    observed(reconciler, (20.0, 40.0), (28.0, 40.0))
+    assert reconciler.reassignments(Instant(12.0)), "begun, it goes on"
+    observed(reconciler, (24.0, 40.0), (24.0, 40.0))
+    assert reconciler.reassignments(Instant(14.0)) == []
+    observed(reconciler, (20.0, 40.0), (28.0, 40.0))
+    assert reconciler.reassignments(Instant(16.0)) == [], "and has to begin anew"
+
+
+def test_back_and_forth_takes_ever_longer() -> None:
+    reconciler = fresh()
+    now, waited = 10.0, []
+    ways = [((8.0, 40.0), (40.0, 40.0)), ((40.0, 40.0), (8.0, 40.0))]
+    for n in range(8):
+        began = now
+        observed(reconciler, *ways[n % 2])
+        while not reconciler.reassignments(Instant(now)):
+            now += 0.5
+            assert now < began + 60.0
+        waited.append(now - began)
+    assert waited[:5] == [0.0, 5.0, 10.0, 20.0, 40.0]
+    assert set(waited[5:]) == {5.0 * MOST_DWELL}, "bounded: nobody waits for ever"
+
+
+def test_a_new_leader_starts_from_the_strict_end() -> None:
+    reconciler = observed(fresh(), (8.0, 40.0), (40.0, 40.0))
+    assert reconciler.reassignments(Instant(4.9)) == []
+    assert reconciler.reassignments(Instant(5.0))
+    assert reconciler.may_take(ShareNo(1), ShareNo(0), 4.0), "empty machines go at once"
+
+
+def test_an_owner_that_was_not_heard_may_need_all_it_holds() -> None:
+    reconciler = observed(fresh(), (8.0, 40.0), (40.0, 40.0), stale=1)
+    assert reconciler.standings["b"].demand == 40.0
+    assert reconciler.standings["b"].target == 24.0, "and no more than its part"
+
+
+def test_what_is_unused_is_lent_and_what_replicas_hold_is_debt() -> None:
+    reconciler = observed(fresh(), (0.0, 0.0), (48.0, 40.0))
+    assert reconciler.standings["a"].lent == 24.0 and not reconciler.short(ShareNo(0))
+    observed(reconciler, (0.0, 400.0), (48.0, 40.0), replicas=30.0)
+    standing = reconciler.standings["b"]
+    assert (standing.target, standing.surplus, standing.debt) == (24.0, 24.0, 24.0)
+    observed(reconciler, (0.0, 8.0), (48.0, 40.0), replicas=30.0)
+    assert reconciler.standings["b"].debt == 8.0, "no more than others lack"
+
+
+def test_what_was_asked_for_in_a_plan_counts_until_the_next() -> None:
+    reconciler = observed(fresh(), (12.0, 40.0), (36.0, 40.0))
+    taken = 0
+    while reconciler.may_take(ShareNo(1), ShareNo(0), 4.0):
+        reconciler.transferred(ShareNo(1), ShareNo(0), 4.0)
+        taken += 1
+    assert taken == 3
--- a/tests/test_property.py
+++ b/tests/test_property.py
@@ -6,6 +6,8 @@
 from hypothesis import strategies as st
 from random_failures import ACTIONS, act, locality
 from world import CANCEL_S, FIVE, MEMBERS, World
+from world_pool import CountingChecker
+from world_pool import settings as organisations
 
 from runcourse.config import Operators
 
@@ -33,8 +35,9 @@
 
 
 def play(script: list[tuple[str, int, float]], seed: int, members: tuple[str, ...]) -> None:
-    # Half of the stories run with moves of running work.
+    # Half of the stories run with moves of running work, half with two organisations.
     moving = seed % 2 == 0
+    divided = seed % 4 in (1, 2)
     world = World(
         seed=seed,
         machines=15 if moving else 5,
@@ -42,7 +45,9 @@
         cpus_max=16.0 if moving else 8.0,
         locality=locality(seed) if moving else None,
         operators=Operators(idle_return=1e6) if moving else None,
+        entitlements=organisations() if divided else None,
     )
+    checker = CountingChecker(world)
     world.run(2.0)
     if moving:
         for n in range(900, 904):
@@ -50,10 +55,13 @@
         world.run(3.0)
     for number, (action, pick, pause) in enumerate(script):
         act(world, action, pick, number)
+        if divided and number % 3 == 0:
+            act(world, "divide", number, number)
         if moving and number % 2:
             act(world, "source_moves", number // 2, number)
         world.run(pause)
         assert not world.broken
+        assert not checker.twice
     world.run(12.0)
     if world.state.down or world.state.refusing:
         world.run(CANCEL_S)
@@ -67,6 +75,7 @@
     world.deliver_held()
     world.run(5.0)
     assert not world.broken
+    assert not checker.twice
     # Services may hold all that a team may use: without them every array gets done.
     for uid in [u for u, told in world.told.items() if told not in ("cancelled", "unknown")]:
         if world.specs[uid].service or uid in world.failing_jobs:
--- a/tests/world.py
+++ b/tests/world.py
@@ -12,7 +12,7 @@
 from collections.abc import Callable, Sequence
 from typing import Any
 
-from production import Former
+from production import Earlier, Former
 from world_gangs import GangSteps
 from world_rules import RuleChecks
 from world_settings import (
@@ -70,6 +70,7 @@
         machines: int = 4,
         members: tuple[str, ...] = MEMBERS,
         former: bool = False,
+        earlier: bool = False,
         locality: LocalitySettings | None = None,
         operators: Operators | None = None,
         entitlements: EntitlementSettings | None = None,
@@ -82,6 +83,7 @@
         self._count = itertools.count()
         self.members = members
         self.former = set(members) if former else set()  # start as the version in production
+        self.earlier = set(members) if earlier else set()  # as the version before divisions
         self.settings = settings
         self.locality = locality
         self.operators = operators or Operators()
@@ -161,6 +163,8 @@
         self.nodes[member] = (
             Former(settings, self.operators, rng, now)  # type: ignore[assignment]
             if member in self.former
+            else Earlier(settings, self.operators, rng, now)
+            if member in self.earlier
             else self._node(settings, rng, now)
         )
         self._tick(member, self.generation[member])
