Entitlements: empty machines are fetched by the leader; needs in turn; lesser work as owed

Cause: a promise of an owner is older than the target it was made for, so several gave more than was owed; a need that no machine fits counted as demand. Change: between organisations owners only let machines fall empty and the leader asks for them while they are owed; needs are told in turn and capped; machines stopped for are counted until they come.

--- a/runcourse/core/leader/balance.py
+++ b/runcourse/core/leader/balance.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections import deque
+
 from ...wire.peer_messages import TransferMachine, VacateMachine, YieldMachines
 from ..context import Context
 from ..ids import Instant, ShareNo
@@ -13,7 +15,7 @@
 from .demand import LOAD_VALID_S, Demand, LoadReport, serves
 from .fleet_view import IdleMachines
 from .pool import Pool
-from .transfers import MachineTransfers
+from .transfers import VACATE_S, MachineTransfers
 
 VACATE_AFTER_S = 2.0  # work that cheap machines can't take waits so long for an empty one
 VACATE_EVERY_S = 1.0  # between two rounds of such requests
@@ -45,6 +47,8 @@
         self.versions = versions
         self._vacate_at = context.now
         self._balance_at = context.now
+        self._vacating: deque[tuple[Instant, ShareNo]] = deque()  # asked, and for which share
+        self._turn = 0  # of the needs that owners are told
 
     def move_idle(
         self,
@@ -82,12 +86,12 @@
     def _unused(self, share: ShareNo, unmet: dict[ShareNo, list[Demand]]) -> bool:
         return not any(n.count > 0 for n in unmet.get(share, ()))
 
-    def _owing(self, giver: ShareNo, taker: ShareNo) -> bool:
+    def _owing(self, giver: ShareNo, taker: ShareNo, coming: float = 0.0) -> bool:
         """Is one short of its target, while the other holds more than its own?"""
         return (
             self.policy.in_force
             and not self.policy.same(giver, taker)
-            and self.policy.short(taker)
+            and self.policy.short(taker, coming)
             and self.policy.exceeds(giver)
         )
 
@@ -155,8 +159,10 @@
             if others:
                 self._vacate_at = Instant(now + VACATE_EVERY_S)
                 other = self.context.rng.choice(others)
-                keep = not self.policy.same(other, share)
-                self.transfers.ask_owner(other, VacateMachine(other, share, need.entry, keep))
+                entitled = not self.policy.same(other, share)
+                if entitled:
+                    self._vacating.append((now, share))
+                self.transfers.ask_owner(other, VacateMachine(other, share, need.entry, entitled))
                 left -= 1
                 if not left:
                     return
@@ -170,9 +176,16 @@
         return (
             owner is not None
             and self.versions.reads(owner, DIVISIONS)
-            and self._owing(giver, taker)
+            and self._owing(giver, taker, self._coming(taker))
         )
 
+    def _coming(self, taker: ShareNo) -> float:
+        """CPUs that owners were asked lately to empty for the taker's organisation: until they are
+        there no more work is stopped for the same need."""
+        while self._vacating and self.context.now > self._vacating[0][0] + VACATE_S:
+            self._vacating.popleft()
+        return self.pool.machine_size * sum(self.policy.same(to, taker) for _, to in self._vacating)
+
     def _one_machine(self, need: Demand) -> bool:
         """Would one machine, emptied, be of use?"""
         return not need.block or any(
@@ -186,8 +199,9 @@
         if now < self._balance_at:
             return
         asked = False
+        self._turn += 1
         for giver, taker, amount in self.policy.reassignments(now):
-            asked |= self._ask_to_yield(giver, taker, amount, entitled=True)
+            asked |= self._ask_for_owed(giver, taker, amount)
         for group in self._organisations():
             asked |= self._balance_among({s: cpus[s] for s in group})
         if asked:
@@ -221,20 +235,24 @@
         lacks = {s: capacity * asked[s] / total - cpus[s] for s in asked}
         to = max(lacks, key=lambda s: lacks[s])
         share = min(lacks, key=lambda s: lacks[s])
-        if asked[to] * cpus[share] >= UNEVEN * asked[share] * cpus[to]:
-            # Half of it: what is asked for changes while machines fall empty.
-            self._ask_to_yield(share, to, min(lacks[to], -lacks[share]) / 2, entitled=False)
-        return True
-
-    def _ask_to_yield(self, giver: ShareNo, taker: ShareNo, cpus: float, entitled: bool) -> bool:
-        """Ask for machines that the largest part of what waits fits on."""
-        load = self.loads.get(taker)
         need = max(
-            (n for n in load.demands if n.asked > 0) if load is not None else (),
+            (n for n in self.loads[to].demands if n.asked > 0),
             key=lambda n: n.size.cpus * n.asked,
             default=None,
         )
-        if need is None:
+        if need is not None and asked[to] * cpus[share] >= UNEVEN * asked[share] * cpus[to]:
+            # Half of it: what is asked for changes while machines fall empty.
+            half = min(lacks[to], -lacks[share]) / 2
+            self.transfers.ask_owner(share, YieldMachines(share, to, half, need.entry))
+        return True
+
+    def _ask_for_owed(self, giver: ShareNo, taker: ShareNo, cpus: float) -> bool:
+        """Ask for machines of use to one of the needs of the taker, each in its turn: what the
+        giver has may fit a small one only."""
+        needs = [n for n in self.loads[taker].demands if self.pool.machine_cpus(n) > 0]
+        if not needs:
             return False
-        self.transfers.ask_owner(giver, YieldMachines(giver, taker, cpus, need.entry, entitled))
+        need = needs[self._turn % len(needs)]
+        most = min(cpus, self.pool.machine_cpus(need))
+        self.transfers.ask_owner(giver, YieldMachines(giver, taker, most, need.entry, True))
         return True
--- a/runcourse/core/leader/pool.py
+++ b/runcourse/core/leader/pool.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from collections.abc import Mapping
 
 from ..context import Context
@@ -9,7 +10,7 @@
 from ..ids import ShareNo
 from ..machines import Fleet
 from ..placement import fits_times
-from .demand import LOAD_VALID_S, Demand, LoadReport, serves
+from .demand import LOAD_VALID_S, Demand, LoadReport, Place, serves
 
 Unmet = Mapping[ShareNo, list[Demand]]
 
@@ -28,7 +29,9 @@
         self.fleet = fleet
         self.loads = loads
         self.policy = policy
+        self.machine_size = 0.0  # CPUs of the largest machine on record
         self._first: list[tuple[ShareNo, Demand]] = []  # waiting work that goes first
+        self._places: Counter[Place] = Counter()  # machines on record that stay
 
     def capacity(self) -> float:
         """CPUs on record, without machines that leave."""
@@ -51,8 +54,13 @@
     def _state(self) -> PoolState:
         # Records at one revision of the store, never sums of what peers told.
         held = self.fleet.groups.cpus_by_share(self.fleet.types)
-        types = {group.type for group in self.fleet.groups.counts()}
+        self._places = Counter()
+        for group, number in self.fleet.groups.counts().items():
+            if not group.leaving:
+                self._places[group.type, group.zone, group.spot] += number
+        types = {type_ for type_, _, _ in self._places}
         largest = max((t.cpus for t in self.fleet.types.values() if t.name in types), default=0.0)
+        self.machine_size = largest
         shares = [self._share(share, held.get(share, 0.0)) for share in self._all()]
         return PoolState(shares, largest)
 
@@ -63,18 +71,22 @@
         load = self.loads.get(share)
         if load is None or self.context.now - load.at >= LOAD_VALID_S:
             return ShareState(share, held, 0.0, 0.0, 0.0, False)
-        asked = sum(self._machine_cpus(need) for need in load.demands)
+        asked = sum(self.machine_cpus(need) for need in load.demands)
         return ShareState(share, held, load.used, load.replicas, asked, True)
 
-    def _machine_cpus(self, need: Demand) -> float:
-        """CPUs of the machines that the tasks would fill; 0 if they fit no type."""
-        each = [
-            type_.cpus / times
-            for type_ in self.fleet.types.values()
-            if (need.types is None or type_.name in need.types)
-            and (times := fits_times(need.size, type_.size))
-        ]
-        return need.asked * min(each, default=0.0)
+    def machine_cpus(self, need: Demand) -> float:
+        """CPUs of the machines on record that the tasks could fill: what fits no machine that
+        there is asks nobody for any."""
+        least: float | None = None
+        there = 0.0
+        for (name, zone, spot), machines in self._places.items():
+            type_ = self.fleet.types.get(name)
+            times = fits_times(need.size, type_.size) if type_ is not None else 0
+            if type_ is not None and times and serves(need, name, zone, spot):
+                there += machines * type_.cpus
+                each = type_.cpus / times
+                least = each if least is None else min(least, each)
+        return min(need.asked * least, there) if least is not None else 0.0
 
     def must_wait(self, share: ShareNo, type_: str, zone: str, spot: bool) -> bool:
         """Does an organisation that holds enough want a place that one short of its target asks
--- a/runcourse/core/leader/transfers.py
+++ b/runcourse/core/leader/transfers.py
@@ -28,11 +28,16 @@
 
 VACATE_S = 15.0  # within which a machine promised to another share must be empty
 CHANGES_OPEN_S = 0.3  # records changed at once: what the write budget pays for in that time
+FETCHED_WITHIN_S = 4.0  # the leader asks for an empty machine that another organisation is owed
 YIELD_S = 45.0  # within which a machine that another share asked for must fall empty
 
 
 class Promise(NamedTuple):
-    """A machine that goes to another share if it falls empty in time."""
+    """A machine that goes to another share if it falls empty in time.
+
+    Between organisations the owner only lets it fall empty: what is owed changes meanwhile, so
+    the leader asks for the empty machine, or doesn't.
+    """
 
     to: ShareNo
     until: Instant
@@ -158,12 +163,22 @@
             machine = self.fleet.machines.get(id)
             if machine is None or self.context.now > promise.until:
                 del self._promised[id]
-                if promise.entitled:
+                if promise.entitled and machine is not None:
                     # Closed to new work again and again, it would keep waiting work from its room.
                     self._resting[id] = Instant(self.context.now + YIELD_S)
-            elif self._may_leave(machine):
+                    machine.draining_until = self.context.now
+            elif not self._may_leave(machine):
+                pass
+            elif not promise.entitled:
                 del self._promised[id]
                 self.change_record(machine, share=promise.to)
+            elif self._not_fetched(machine):
+                del self._promised[id]
+                machine.draining_until = self.context.now  # nobody is owed it any more
+
+    def _not_fetched(self, machine: Machine) -> bool:
+        empty = machine.empty_since
+        return empty is not None and self.context.now > empty + FETCHED_WITHIN_S
 
     def _yield(self, request: YieldMachines) -> None:
         """Machines of that many CPUs, those promised before included, go as they fall empty."""
@@ -212,12 +227,13 @@
             need.size,
             lambda m: (
                 serves(need, m.record.type, m.record.zone, m.record.spot)
-                and not (request.keep_replicas and m.lasting > 0)
+                and not (request.entitled and m.lasting > 0)
             ),
         )
         if machine is not None:
             self.context.log("info", f"machine {machine.id}: makes way for share {to}")
-            self._promised[machine.id] = Promise(to, Instant(self.context.now + VACATE_S))
+            until = Instant(self.context.now + VACATE_S)
+            self._promised[machine.id] = Promise(to, until, request.entitled)
 
     def _return_silent(self) -> None:
         """A machine that is silent well beyond its reports is returned: once the cloud has
--- a/runcourse/division_client.py
+++ b/runcourse/division_client.py
@@ -72,7 +72,7 @@
         host, port = address(args.internal, "--internal")
         if args.action == "watch":
             return _watch(host, port, args.seconds)
-        answer = _ask(host, port, _call(args))
+        answer = _ask_leader(host, port, _call(args))
     except (SettingsError, OSError, UnicodeDecodeError) as problem:
         if isinstance(problem, ConnectionError | TimeoutError):
             return _no_answer(problem)
@@ -107,6 +107,19 @@
     return ask(host, port, OperatorQuestion("division", call))
 
 
+def _ask_leader(host: str, port: int, call: dict[str, Any]) -> dict[str, Any]:
+    """The answer of the controller named; how the organisations fare only the leader knows."""
+    answer = _ask(host, port, call)
+    leader = answer.get("leader_addr")
+    looking = call["action"] in ("show", "preview")
+    if looking and answer.get("result") == "ok" and leader and leader != f"{host}:{port}":
+        try:
+            return _ask(*address(leader, "leader"), call)
+        except (OSError, msgspec.DecodeError, SettingsError):
+            return answer  # it is out of reach from here, or has just ended
+    return answer
+
+
 def _tell(answer: dict[str, Any], as_json: bool) -> int:
     """Print an answer; returns the exit code."""
     result = answer.get("result", "unknown")
@@ -136,11 +149,7 @@
     with Live(refresh_per_second=2) as live:
         while time.monotonic() < end:
             try:
-                answer = _ask(host, port, {"action": "show"})
-                leader = answer.get("leader_addr")
-                if leader and leader != f"{host}:{port}":
-                    host, port = address(leader, "leader")
-                    answer = _ask(host, port, {"action": "show"})
+                answer = _ask_leader(host, port, {"action": "show"})
             except (OSError, msgspec.DecodeError):
                 time.sleep(WATCH_EVERY_S)  # a leader that ended has a follower soon
                 continue
--- a/runcourse/entitlements/policy.py
+++ b/runcourse/entitlements/policy.py
@@ -32,9 +32,9 @@
         self._assignment = Assignment({}, NOT_FOUNDED)
         self._leading = False
         self._pool = PoolState((), 0.0)
-        self._since = LONG_AGO  # the targets are not reached, or not looked at
-        self._told = False  # the log was told of the present state
+        self._since = LONG_AGO  # the targets are not reached
         self._reached = False
+        self._logged: set[bool] = set()  # whether reached and whether not, of this division
 
     # --- founding and division -----------------------------------------------------------
 
@@ -46,7 +46,18 @@
     @property
     def problem(self) -> str:
         """Why not; empty if so."""
-        return self._assignment.problem
+        return self._assignment.problem or self._other_names()
+
+    def _other_names(self) -> str:
+        """A division that was stored with another file than this."""
+        stored = {entry.name for entry in self._division.limits}
+        stated = {entry.name for entry in self.settings.organisations}
+        if stored == stated:
+            return ""
+        return (
+            f"the stored division names {', '.join(sorted(stored))}, the file"
+            f" {', '.join(sorted(stated))}"
+        )
 
     def founding(self, shares: int) -> list[str]:
         """The dealing of teams with which a new store is founded."""
@@ -67,8 +78,12 @@
     def division_changed(self, division: Division | None) -> None:
         """Another division is in force."""
         self._division = division or self._first
+        self._look_anew()
+
+    def _look_anew(self) -> None:
         self._since = LONG_AGO
-        self._told = self._reached = False
+        self._reached = False
+        self._logged.clear()
 
     def fault(self, limits: Sequence[OrganisationLimits], capacity: float) -> str:
         """Why such a division can't be."""
@@ -86,27 +101,28 @@
         """Leadership begins."""
         self.reconciler.begin(now)
         self._leading = True
-        self._since = LONG_AGO
-        self._told = self._reached = False
+        self._look_anew()
 
     def observe(self, pool: PoolState, now: Instant) -> Sequence[str]:
         """Reckon targets; says once when they are reached, and once when they can't be."""
         self._pool = pool
         self.reconciler.observe(pool, self._assignment.serves, self._division.limits)
-        if converged(self.reconciler.standings.values(), pool.machine_cpus):
+        self._reached = converged(self.reconciler.standings.values(), pool.machine_cpus)
+        if self._reached:
             self._since = LONG_AGO
-            self._told = False
-            if self._reached:
-                return ()
-            self._reached = True
-            return (f"division {self._division.version} is reached: {self._sums()}",)
-        self._reached = False
+            return self._once("is reached")
         if self._since == LONG_AGO:
             self._since = now
-        if self._told or now < self._since + NOT_REACHED_AFTER_S:
+        if now < self._since + NOT_REACHED_AFTER_S:
+            return ()
+        return self._once("is not reached")
+
+    def _once(self, what: str) -> Sequence[str]:
+        """A line for the log, the first time that this division comes to that."""
+        if self._reached in self._logged:
             return ()
-        self._told = True
-        return (f"division {self._division.version} is not reached: {self._sums()}",)
+        self._logged.add(self._reached)
+        return (f"division {self._division.version} {what}: {self._sums()}",)
 
     def _sums(self) -> str:
         return "; ".join(
@@ -127,15 +143,15 @@
             if standing.surplus > standing.debt:
                 rest = standing.surplus - standing.debt
                 reasons.append(f"tasks of {other} that run hold {rest:g}")
-        return ", ".join(reasons) or "less than a machine, or machines under way"
+        return ", ".join(reasons) or "nothing that others hold fits, or it is on its way"
 
     def end(self) -> None:
         """Leadership is over: what was reckoned is old."""
         self._leading = False
 
-    def short(self, share: ShareNo) -> bool:
+    def short(self, share: ShareNo, coming: float = 0.0) -> bool:
         """Does its organisation ask for more, and hold too little?"""
-        return self.in_force and self.reconciler.short(share)
+        return self.in_force and self.reconciler.short(share, coming)
 
     def exceeds(self, share: ShareNo) -> bool:
         """Does its organisation hold all that it is entitled to?"""
--- a/runcourse/entitlements/reconciler.py
+++ b/runcourse/entitlements/reconciler.py
@@ -161,12 +161,11 @@
             return held + self._moved.get(None, 0.0)
         return -self._lacking(name) if name in self.standings else 0.0
 
-    def short(self, share: ShareNo) -> bool:
+    def short(self, share: ShareNo, coming: float = 0.0) -> bool:
         """Does its organisation ask for more, and lack more than part of a machine?"""
         name = self._serves.get(share)
-        return (
-            name in self._catching_up and self._lacking(name) >= STOP_PART * self._pool.machine_cpus
-        )
+        least = STOP_PART * self._pool.machine_cpus
+        return name in self._catching_up and self._lacking(name) - coming >= least
 
     def exceeds(self, share: ShareNo) -> bool:
         """Does its organisation hold its target or more?"""
--- a/runcourse/entitlements/settings.py
+++ b/runcourse/entitlements/settings.py
@@ -60,6 +60,9 @@
         raise SettingsError(f"{path}: organisations: unknown setting")
     settings = to_struct(path, others, EntitlementSettings)
     _check(path, organisations, platform)
+    minima = sum(entry.minimum for entry in organisations)
+    if settings.pool is not None and minima > settings.pool:
+        raise SettingsError(f"{path}: pool: less than the minima of {minima:g} CPUs")
     return msgspec.structs.replace(settings, organisations=tuple(organisations))
 
 
--- a/runcourse/wire/peer_messages.py
+++ b/runcourse/wire/peer_messages.py
@@ -161,7 +161,9 @@
     share: ShareNo
     to: ShareNo
     need: DemandEntry
-    keep_replicas: bool = False  # stop no service, whatever its rank
+    # For another organisation: stop no service, whatever its rank, and leave the empty machine
+    # to the leader, who asks for it if it is still owed then.
+    entitled: bool = False
 
 
 class YieldMachines(Struct, frozen=True, tag_field="t", tag="yield", omit_defaults=True):
@@ -171,7 +173,7 @@
     to: ShareNo
     cpus: float
     need: DemandEntry
-    entitled: bool = False  # for another organisation: a machine that didn't fall empty rests
+    entitled: bool = False  # for another organisation: the leader asks for what fell empty
 
 
 class RelayedReport(Struct, frozen=True, tag_field="t", tag="beat"):
--- a/tests/test_division_requests.py
+++ b/tests/test_division_requests.py
@@ -9,7 +9,7 @@
 from failing_parts import BOTH
 from mixed_versions import back, earlier_history, mixed
 from world import World
-from world_pool import DEALERS, REGISTRY, PoolWorld, contended, limits
+from world_pool import DEALERS, REGISTRY, PoolWorld, contended, limits, settings
 
 from runcourse.core import types as t
 from runcourse.core.stored_values import MappingValue, OrganisationLimits
@@ -197,6 +197,18 @@
     assert world.finished, "it serves"
 
 
+def test_a_file_that_names_others_than_the_division_is_not_in_force() -> None:
+    world = ready()
+    accepted(world.apply(RAISED, 0))
+    first = settings()
+    renamed = tuple(msgspec.structs.replace(o, name=o.name + "-new") for o in first.organisations)
+    world.entitlements = msgspec.structs.replace(first, organisations=renamed)
+    back(world, "n0", 0.5, new=True)
+    world.run(5.0)
+    reason = refused(world.request("n0", "show"))
+    assert "the stored division names dealers, registry, the file dealers-new" in reason
+
+
 @mixed
 @BOTH
 def test_no_division_is_stored_before_everybody_reads_it(members: tuple[str, ...]) -> None:
--- a/tests/test_pool_failures.py
+++ b/tests/test_pool_failures.py
@@ -5,11 +5,12 @@
 from collections import Counter
 from typing import Any
 
+import msgspec
 import pytest
 from failing_parts import BOTH, owner_of
 from gang_stories import machines_of
 from world import LEASE_S, MEMBERS, World, spec
-from world_pool import DEALERS, LONG_S, MINUTE_S, REGISTRY, PoolWorld, contended
+from world_pool import DEALERS, LONG_S, MINUTE_S, REGISTRY, PoolWorld, contended, settings
 
 from runcourse.core.ids import ABSENT
 from runcourse.core.leader import transfers
@@ -165,6 +166,69 @@
     world.right()
 
 
+@BOTH
+def test_lesser_work_is_stopped_for_what_is_owed_and_no_further(members: tuple[str, ...]) -> None:
+    world = PoolWorld(members)
+    world.until(lambda: len(world.checker.recorded()) == 12, 20)
+    world.until(lambda: "rc/format" in world.state.data, 20)
+    world.replicas(DEALERS, 2)
+    world.array(DEALERS, 10, LONG_S, rank=3)
+    world.until(lambda: world.running(DEALERS) == 10, 30)
+    world.array(REGISTRY, 400, LONG_S, rank=1)
+    world.until(lambda: world.near(dealers=6, registry=6), MINUTE_S)
+    for _ in range(20):
+        world.run(3.0)
+        assert world.near(dealers=6, registry=6)
+        assert world.running(DEALERS, service=True) == 2
+    assert world.running(DEALERS) >= 3, "no more is stopped than is owed"
+    world.right()
+
+
+@BOTH
+def test_new_machines_go_first_to_who_is_short(members: tuple[str, ...]) -> None:
+    world = contended(members, estimate_s=LONG_S)
+    raised(world)
+    world.run(10.0)
+    assert world.near(dealers=6, registry=6), "long tasks run on"
+    world.capacity += 12
+    world.until(lambda: len(world.checker.recorded()) == 24, 120)
+    world.run(5.0)
+    assert world.near(dealers=6, registry=18)
+    world.right()
+
+
+def test_what_fits_no_machine_there_is_takes_none() -> None:
+    world = PoolWorld(machine_zones="b")
+    world.until(lambda: len(world.checker.recorded()) == 12, 20)
+    world.until(lambda: "rc/format" in world.state.data, 20)
+    world.array(REGISTRY, 200, zone="a")
+    world.array(DEALERS, 400)
+    world.until(lambda: world.holdings()[DEALERS] >= 11, MINUTE_S)
+    world.array(REGISTRY, 4, LONG_S)
+    moved = 0
+    for _ in range(30):
+        before = world.holdings()[REGISTRY]
+        world.run(2.0)
+        moved += abs(world.holdings()[REGISTRY] - before)
+    assert world.running(REGISTRY) == 4, "its other work gets what it can use"
+    assert world.holdings()[REGISTRY] <= 5 and moved <= 8, "and nothing goes back and forth"
+    world.right()
+
+
+@BOTH
+def test_a_maximum_binds_only_while_others_ask(members: tuple[str, ...]) -> None:
+    first = settings()
+    dealers = msgspec.structs.replace(first.organisations[0], maximum=16.0)
+    first = msgspec.structs.replace(first, organisations=(dealers, first.organisations[1]))
+    world = PoolWorld(members, first=first)
+    world.until(lambda: len(world.checker.recorded()) == 12, 20)
+    world.array(DEALERS, 200)
+    world.until(lambda: world.holdings()[DEALERS] == 12, MINUTE_S)
+    world.array(REGISTRY, 400)
+    world.until(lambda: world.near(dealers=4, registry=8), MINUTE_S)
+    world.right()
+
+
 # --- leaders, owners and the store -------------------------------------------------------
 
 
