One key-value store for both stand-ins of the state service; locality worlds apart

Change: tests/key_value.py serves the scripted and the loopback state service; set-up of the locality tests in locality_world.py; assertions unchanged.

--- a/tests/standins.py
+++ b/tests/standins.py
@@ -21,6 +21,8 @@
 ROOT = Path(__file__).resolve().parent.parent
 sys.path[:0] = [str(ROOT), str(ROOT / "target" / "deps")]
 
+from key_value import Change, KeyValueStore, NoSuchLease  # noqa: E402
+
 from runcourse.net.http import Client, NotSent, Reply, Server, Unanswered  # noqa: E402
 from runcourse.wire.codec import decode_map, encode  # noqa: E402
 
@@ -35,16 +37,11 @@
     return Reply(status, encode(body))
 
 
-class StateService:
+class StateService(KeyValueStore):
     """The state service as PROTOCOL describes it, without limits on rates."""
 
     def __init__(self) -> None:
-        self.data: dict[str, tuple[Any, int]] = {}
-        self.log: list[dict[str, Any]] = []
-        self.epoch = 0
-        self.grants = itertools.count(1)
-        self.leases: dict[int, tuple[float, float]] = {}  # until when, and for how long
-        self.attached: dict[str, int] = {}  # keys to their leases
+        super().__init__(time.monotonic)
         self.down = False
         self.server = Server(self.serve, 100)
 
@@ -57,20 +54,14 @@
         if path == "/keys":
             return self.page(asked)
         if path == "/follow":
-            first = bisect.bisect_right(self.log, int(asked["since"]), key=lambda e: e["stamp"])
-            return reply(200, {"epoch": self.epoch, "events": self.log[first:]})
+            first = bisect.bisect_right(self.log, int(asked["since"]), key=lambda c: c.stamp)
+            return reply(200, {"epoch": self.epoch, "events": list(map(event, self.log[first:]))})
         if path == "/commit":
-            return self.commit(decode_map(body))
+            return self.answer_commit(decode_map(body))
         if path == "/leases":
-            grant, life_s = next(self.grants), decode_map(body)["life_ms"] / 1000
-            self.leases[grant] = (time.monotonic() + life_s, life_s)
-            return reply(200, {"grant": grant})
+            return reply(200, {"grant": self.grant(decode_map(body)["life_ms"] / 1000)})
         if path.startswith("/leases/"):
-            grant = int(path.split("/")[2])
-            if grant not in self.leases:
-                return reply(404, {})
-            self.leases[grant] = (time.monotonic() + self.leases[grant][1], self.leases[grant][1])
-            return reply(200, {})
+            return reply(200 if self.extend(int(path.split("/")[2])) else 404, {})
         return reply(404, {})
 
     def page(self, asked: dict[str, str]) -> Reply:
@@ -79,42 +70,33 @@
             k for k in self.data if k.startswith(asked["under"]) and k > asked.get("since", "")
         )
         pairs = [
-            {"key": k, "value": self.data[k][0], "stamp": self.data[k][1]} for k in keys[:most]
+            {"key": k, "value": self.data[k].value, "stamp": self.data[k].stamp}
+            for k in keys[:most]
         ]
         return reply(200, {"pairs": pairs, "has_next": len(keys) > most, "epoch": self.epoch})
 
-    def expire(self) -> None:
-        now = time.monotonic()
-        for grant in [g for g, (end, _) in self.leases.items() if now > end]:
-            del self.leases[grant]
-            self.epoch += 1
-            for key in [k for k, g in self.attached.items() if g == grant]:
-                self.drop(key)
-
-    def drop(self, key: str) -> None:
-        self.data.pop(key, None)
-        self.attached.pop(key, None)
-        self.log.append({"drop": key, "stamp": self.epoch})
-
-    def commit(self, body: dict[str, Any]) -> Reply:
-        failed = [
-            c["key"] for c in body["when"] if self.data.get(c["key"], (None, 0))[1] != c["stamp"]
-        ]
+    def answer_commit(self, body: dict[str, Any]) -> Reply:
+        failed = self.failed([(c["key"], c["stamp"]) for c in body["when"]])
         if failed:
             return reply(409, {"failed": failed, "epoch": self.epoch})
-        if any(op.get("grant", 0) and op["grant"] not in self.leases for op in body["then"]):
+        try:
+            return reply(200, {"epoch": self.commit(map(write, body["then"]))})
+        except NoSuchLease:
             return reply(400, {"error": "no such lease"})
-        self.epoch += 1
-        for op in body["then"]:
-            if "drop" in op:
-                self.drop(op["drop"])
-                continue
-            self.data[op["write"]] = (op["value"], self.epoch)
-            self.log.append({"write": op["write"], "value": op["value"], "stamp": self.epoch})
-            self.attached.pop(op["write"], None)
-            if op.get("grant"):
-                self.attached[op["write"]] = op["grant"]
-        return reply(200, {"epoch": self.epoch})
+
+
+def write(change: dict[str, Any]) -> tuple[str, Any, int | None]:
+    """Key, value and lease of a change in a transaction."""
+    if "drop" in change:
+        return change["drop"], None, None
+    return change["write"], change["value"], change.get("grant") or None
+
+
+def event(change: Change) -> dict[str, Any]:
+    """A change as those who follow are told of it."""
+    if change.value is None:
+        return {"drop": change.key, "stamp": change.stamp}
+    return {"write": change.key, "value": change.value, "stamp": change.stamp}
 
 
 class Worker:
--- a/tests/test_locality_moves.py
+++ b/tests/test_locality_moves.py
@@ -7,106 +7,28 @@
 import msgspec
 import pytest
 from failing_parts import BOTH
-from world import CANCEL_S, MEMBERS, World, spec
+from locality_world import (
+    UID,
+    array,
+    begun,
+    moves,
+    moving,
+    nodes,
+    nothing_reserved,
+    owner,
+    settings,
+    tasks_of,
+    under_way,
+    world_with,
+    zones_near,
+)
+from world import CANCEL_S, World, spec
 
-from runcourse.config import Operators
 from runcourse.core.ids import Instant, JobId
 from runcourse.core.machine import Machine
-from runcourse.core.migrations import MIN_RUNTIME_S, Migration, Migrations
-from runcourse.core.node import Node
+from runcourse.core.migrations import MIN_RUNTIME_S
 from runcourse.locality.settings import LocalitySettings, Source
 
-UID = "j-000001"
-LONG_S = 4000.0
-
-
-def settings(*zones: str, **changes: Any) -> LocalitySettings:
-    """A source that team-0 reads, in these zones; moves as often as bounds let them be tried."""
-    source = Source("p", zones or ("a",), 200.0, 10.0, 0.5, teams=("team-0",))
-    values: dict[str, Any] = {
-        "sources": (source,),
-        "moves_per_hour": 3600.0,
-        "burst": 1,
-        "interval": 1.0,
-        "dwell": 5.0,
-        "cooldown": 120.0,
-    }
-    return LocalitySettings(**{**values, **changes})
-
-
-def world_with(
-    locality: LocalitySettings, members: tuple[str, ...] = MEMBERS, each: int = 2, **changes: Any
-) -> World:
-    """`each`: machines that each share has in either of two zones; none is returned when empty."""
-    zones = "a" * len(members) + "b" * len(members)
-    values: dict[str, Any] = {"cpus_max": 100.0, "operators": Operators(idle_return=1e6)}
-    world = World(
-        machines=each * len(zones),
-        members=members,
-        locality=locality,
-        machine_zones=zones,
-        **{**values, **changes},
-    )
-    world.run(6.0)
-    return world
-
-
-def array(world: World, uid: str = UID, tasks: int = 2, **changes: Any) -> None:
-    values: dict[str, Any] = {"checkpoint_s": 1.0, "estimate_s": LONG_S, "save_s": 1.0}
-    world.submit(spec(uid, tasks=tasks, **{**values, **changes}))
-    world.until(lambda: len(tasks_of(world, uid)) >= tasks, 30)
-
-
-def tasks_of(world: World, uid: str = UID) -> dict[int, str]:
-    """Zones of the job's tasks that run, by number."""
-    return {
-        task.number: worker.zone
-        for worker in world.workers.values()
-        if worker.alive
-        for (task, _), entry in worker.tasks.items()
-        if task.job == uid and entry[0] == "running"
-    }
-
-
-def nodes(world: World) -> list[Node]:
-    return [node for node in world.nodes.values() if node is not None]
-
-
-def owner(world: World, uid: str = UID) -> Node:
-    found = [n for n in nodes(world) if n.scheduler.work.get(JobId(uid)) is not None]
-    assert len(found) == 1
-    return found[0]
-
-
-def moves(world: World) -> Migrations:
-    return owner(world).scheduler.migrations
-
-
-def begun(world: World) -> int:
-    return sum(n.scheduler.migrations.counts["begun"] for n in nodes(world))
-
-
-def zones_near(world: World, *zones: str) -> bool:
-    return set(tasks_of(world).values()) <= set(zones)
-
-
-def under_way(world: World) -> Migration | None:
-    return next(iter(moves(world)._moves.values()), None)
-
-
-def until_move(world: World) -> Migration:
-    for _ in range(5000):
-        move = under_way(world)
-        if move is not None:
-            return move
-        world.run(0.02)
-    raise AssertionError("no move was begun")
-
-
-def nothing_reserved(world: World) -> bool:
-    return not any(m.reservations for n in nodes(world) for m in n.fleet.machines.values())
-
-
 # --- the picture changes -----------------------------------------------------------------
 
 
@@ -305,16 +227,6 @@
 # --- failures on the way -----------------------------------------------------------------
 
 
-def moving(members: tuple[str, ...] = MEMBERS, **changes: Any) -> World:
-    """A world in which a move has just begun: the stop is on its way, room is reserved."""
-    world = world_with(settings("a"), members)
-    array(world, tasks=1, **changes)
-    world.run(MIN_RUNTIME_S + 5.0)
-    world.reload(settings("b"))
-    until_move(world)
-    return world
-
-
 def runs_again(world: World) -> None:
     world.until(lambda: len(tasks_of(world)) == 1, 90)
     world.run(25.0)
