Entitlements: what waits at an owner has no claim on owed machines; promises say since when

Cause: an owner whose own work of the same priority waited would not empty a machine for another organisation; a machine long empty was reopened at once. Change: as titled; why the policy is not in force is kept instead of reckoned at each question.

--- a/runcourse/core/leader/transfers.py
+++ b/runcourse/core/leader/transfers.py
@@ -40,8 +40,9 @@
     """
 
     to: ShareNo
+    since: Instant
     until: Instant
-    entitled: bool = False  # to another organisation
+    entitled: bool  # to another organisation
 
 
 class MachineTransfers:
@@ -172,13 +173,14 @@
             elif not promise.entitled:
                 del self._promised[id]
                 self.change_record(machine, share=promise.to)
-            elif self._not_fetched(machine):
+            elif self._not_fetched(machine, promise):
                 del self._promised[id]
                 machine.draining_until = self.context.now  # nobody is owed it any more
 
-    def _not_fetched(self, machine: Machine) -> bool:
+    def _not_fetched(self, machine: Machine, promise: Promise) -> bool:
+        """Has it been empty for so long that the leader seems to want it no more?"""
         empty = machine.empty_since
-        return empty is not None and self.context.now > empty + FETCHED_WITHIN_S
+        return empty is not None and self.context.now > max(empty, promise.since) + FETCHED_WITHIN_S
 
     def _yield(self, request: YieldMachines) -> None:
         """Machines of that many CPUs, those promised before included, go as they fall empty."""
@@ -204,8 +206,13 @@
             # A machine may be more than half of the difference, if it is no more than all of it.
             if machine.type.cpus <= left or half == left >= machine.type.cpus / 2:
                 left -= machine.type.cpus
-                machine.draining_until = Instant(self.context.now + YIELD_S)
-                self._promised[machine.id] = Promise(to, machine.draining_until, request.entitled)
+                self._promise(machine, to, YIELD_S, request.entitled)
+
+    def _promise(self, machine: Machine, to: ShareNo, seconds: float, entitled: bool) -> None:
+        """Nothing new goes to the machine until it is empty, or the time is over."""
+        now = self.context.now
+        machine.draining_until = max(machine.draining_until, Instant(now + seconds))
+        self._promised[machine.id] = Promise(to, now, Instant(now + seconds), entitled)
 
     def _still_resting(self) -> Collection[MachineId]:
         now = self.context.now
@@ -215,11 +222,11 @@
 
     def _vacate(self, request: VacateMachine) -> None:
         share, to, need = request.share, request.to, Demand(request.need)
-        if (
-            not self.shares.may_command(share)
-            or not self._other(share, to)
-            or any(job.spec.rank <= need.rank for job, _, _ in self.scheduler.unmet.get(share, ()))
-        ):
+        if not self.shares.may_command(share) or not self._other(share, to):
+            return
+        unmet = self.scheduler.unmet.get(share, ())
+        # What waits here has no claim on a machine that is owed to another organisation.
+        if not request.entitled and any(job.spec.rank <= need.rank for job, _, _ in unmet):
             return
         machine = self.scheduler.draining.vacate(
             share,
@@ -232,8 +239,7 @@
         )
         if machine is not None:
             self.context.log("info", f"machine {machine.id}: makes way for share {to}")
-            until = Instant(self.context.now + VACATE_S)
-            self._promised[machine.id] = Promise(to, until, request.entitled)
+            self._promise(machine, to, VACATE_S, request.entitled)
 
     def _return_silent(self) -> None:
         """A machine that is silent well beyond its reports is returned: once the cloud has
--- a/runcourse/entitlements/policy.py
+++ b/runcourse/entitlements/policy.py
@@ -30,6 +30,7 @@
         )
         self._division = self._first
         self._assignment = Assignment({}, NOT_FOUNDED)
+        self.problem = NOT_FOUNDED  # why the policy is not in force; empty if it is
         self._leading = False
         self._pool = PoolState((), 0.0)
         self._since = LONG_AGO  # the targets are not reached
@@ -40,14 +41,9 @@
 
     @property
     def in_force(self) -> bool:
-        """Does every share serve one organisation at the most?"""
+        """Does every share serve one organisation at the most, of those that are divided?"""
         return not self.problem
 
-    @property
-    def problem(self) -> str:
-        """Why not; empty if so."""
-        return self._assignment.problem or self._other_names()
-
     def _other_names(self) -> str:
         """A division that was stored with another file than this."""
         stored = {entry.name for entry in self._division.limits}
@@ -66,6 +62,7 @@
     def assign(self, of_team: TeamShares, shares: int) -> None:
         """Learn the dealing of the store."""
         self._assignment = assign(self.settings.organisations, of_team, shares)
+        self.problem = self._assignment.problem or self._other_names()
 
     def organisation(self, share: ShareNo) -> Organisation | None:
         """Whom the share serves."""
@@ -78,6 +75,7 @@
     def division_changed(self, division: Division | None) -> None:
         """Another division is in force."""
         self._division = division or self._first
+        self.problem = self._assignment.problem or self._other_names()
         self._look_anew()
 
     def _look_anew(self) -> None:
--- a/tests/test_pool_failures.py
+++ b/tests/test_pool_failures.py
@@ -174,6 +174,7 @@
     world.replicas(DEALERS, 2)
     world.array(DEALERS, 10, LONG_S, rank=3)
     world.until(lambda: world.running(DEALERS) == 10, 30)
+    world.array(DEALERS, 40, LONG_S, rank=2)  # waits here: it has no claim on what is owed
     world.array(REGISTRY, 400, LONG_S, rank=1)
     world.until(lambda: world.near(dealers=6, registry=6), MINUTE_S)
     for _ in range(20):
