What its holder has no use for is lent; a maximum binds only while others ask

Cause: found by a test of needs in turn: an empty machine stayed where only work of another zone waited, beside an organisation that could have used it; a capped organisation waited beside room that nobody asked for. Change: use is asked for each machine; what is left goes beyond the maxima. Owners' part has tests of its own, after taking guards out one by one.

--- a/runcourse/core/leader/balance.py
+++ b/runcourse/core/leader/balance.py
@@ -61,7 +61,7 @@
                 others = [
                     s
                     for s in self.shares.all()
-                    if s != share and (self._unused(s, unmet) or self._owing(s, share))
+                    if s != share and (self.policy.in_force or self._unused(s, unmet))
                 ]
                 if need.block and need.count > 0 and not self._one_zone(need, others, idle):
                     continue
@@ -98,12 +98,21 @@
     def _may_move(
         self, giver: ShareNo, taker: ShareNo, record: Record, unmet: dict[ShareNo, list[Demand]]
     ) -> bool:
-        """What its holder leaves unused is lent to whoever asks, to those short of their target
-        first; what it has use for goes only as far as it is owed."""
-        cpus = self.fleet.types[record.type].cpus
-        if self._unused(giver, unmet):
+        """What its holder has no use for is lent to whoever asks, to those short of their target
+        first; the rest goes only as far as it is owed."""
+        if not self._of_use(giver, record, unmet):
             return not self.pool.must_wait(taker, record.type, record.zone, record.spot)
-        return self.policy.may_take(giver, taker, cpus)
+        return self.policy.may_take(giver, taker, self.fleet.types[record.type].cpus)
+
+    def _of_use(self, share: ShareNo, record: Record, unmet: dict[ShareNo, list[Demand]]) -> bool:
+        """Could anything that waits in the share run on the machine?"""
+        size = self.fleet.types[record.type].size
+        return any(
+            need.count > 0
+            and serves(need, record.type, record.zone, record.spot)
+            and fits_times(need.size, size) > 0
+            for need in unmet.get(share, ())
+        )
 
     def _one_zone(
         self,
--- a/runcourse/entitlements/reconciler.py
+++ b/runcourse/entitlements/reconciler.py
@@ -141,10 +141,14 @@
     def _allocate(
         self, limits: Sequence[OrganisationLimits], demands: Mapping[Organisation, float]
     ) -> dict[Organisation, float]:
+        capacity = self._capacity()
         claims = [
             Claim(e.name, demands.get(e.name, 0.0), e.minimum, e.weight, e.maximum) for e in limits
         ]
-        return {name: float(cpus) for name, cpus in allocate(self._capacity(), claims).items()}
+        first = allocate(capacity, claims)
+        # What is left is asked for only beyond a maximum, which binds while others ask.
+        beyond = [c._replace(minimum=float(first[c.name]), maximum=None) for c in claims]
+        return {name: float(cpus) for name, cpus in allocate(capacity, beyond).items()}
 
     # --- what may be asked of owners -----------------------------------------------------
 
--- a/tests/test_entitlement_parts.py
+++ b/tests/test_entitlement_parts.py
@@ -212,3 +212,26 @@
         reconciler.transferred(ShareNo(1), ShareNo(0), 4.0)
         taken += 1
     assert taken == 3
+
+
+def test_a_giver_keeps_its_target_within_half_a_machine() -> None:
+    serves = {ShareNo(n): name for n, name in enumerate("abc")}
+    held = (8.0, 17.0, 23.0)  # of 16 each, where all ask for more
+    shares = [ShareState(ShareNo(n), cpus, cpus, 0.0, 40.0, True) for n, cpus in enumerate(held)]
+    reconciler = fresh()
+    reconciler.observe(PoolState(shares, 4.0), serves, [OrganisationLimits(n) for n in "abc"])
+    assert not reconciler.may_take(ShareNo(1), ShareNo(0), 4.0)
+    assert reconciler.may_take(ShareNo(2), ShareNo(0), 4.0)
+    assert not reconciler.may_take(ShareNo(2), ShareNo(1), 4.0), "and nobody else takes any"
+
+
+def test_a_maximum_binds_while_others_ask() -> None:
+    limits = [OrganisationLimits("a", maximum=8.0), OrganisationLimits("b")]
+    for b_asks, expected in ((100.0, (8.0, 40.0)), (0.0, (36.0, 12.0))):
+        shares = [
+            ShareState(ShareNo(0), 36.0, 36.0, 0.0, 40.0, True),
+            ShareState(ShareNo(1), 12.0, 12.0, 0.0, b_asks, True),
+        ]
+        reconciler = fresh()
+        reconciler.observe(PoolState(shares, 4.0), SERVES, limits)
+        assert (reconciler.standings["a"].target, reconciler.standings["b"].target) == expected
--- /dev/null
+++ b/tests/test_owed_machines.py
@@ -0,0 +1,179 @@
+"""What owners do for machines that another organisation is owed, and what the leader asks for."""
+
+from __future__ import annotations
+
+from unittest.mock import patch
+
+from failing_parts import owner_of
+from world import spec
+from world_pool import DEALERS, LONG_S, MINUTE_S, REGISTRY, PoolWorld, recorded
+
+from runcourse.core.leader.transfers import FETCHED_WITHIN_S, VACATE_S, YIELD_S
+from runcourse.core.machine import Machine
+from runcourse.core.node import Node
+from runcourse.core.versions import Versions
+from runcourse.wire.peer_messages import DemandEntry, VacateMachine, YieldMachines
+
+NEED = DemandEntry((4.0, 4.0, 0.0), 1, False, None, None, [], 10, 10, 5.0)
+
+
+def one_machine() -> tuple[PoolWorld, Node, Machine]:
+    """The first machine of a world in which nothing waits, and its owner."""
+    world = recorded(machines=3)
+    world.run(3.0)
+    owner, machine = owner_of(world, next(iter(world.workers)))
+    return world, owner, machine
+
+
+def ask_to_yield(owner: Node, machine: Machine, cpus: float = 4.0) -> None:
+    share = machine.share.number
+    other = next(s for s in owner.shares.all() if s != share)
+    owner.rental.transfers.handle(YieldMachines(share, other, cpus, NEED, True))
+
+
+def ask_to_vacate(owner: Node, machine: Machine, entitled: bool = True) -> None:
+    share = machine.share.number
+    other = next(s for s in owner.shares.all() if s != share)
+    owner.rental.transfers.handle(VacateMachine(share, other, NEED, entitled))
+
+
+def closed(world: PoolWorld, machine: Machine) -> bool:
+    return machine.draining_until > world.now
+
+
+def team_of(owner: Node, machine: Machine) -> str:
+    """A team that the machine's share serves."""
+    teams = (f"team-{n}" for n in range(4))
+    return next(t for t in teams if owner.shares.of_team(t) == machine.share.number)  # type: ignore[arg-type]
+
+
+def test_an_empty_machine_that_is_not_fetched_is_opened_again_and_stays() -> None:
+    world, owner, machine = one_machine()
+    share = machine.record.share
+    ask_to_yield(owner, machine)
+    assert closed(world, machine)
+    world.run(FETCHED_WITHIN_S - 1.0)
+    assert closed(world, machine)
+    world.run(2.0)
+    assert not closed(world, machine)
+    assert world.state.data[f"rc/machine/{machine.id}"][0]["share"] == share, "owed to nobody"
+
+
+def test_a_machine_that_did_not_fall_empty_rests_before_it_is_closed_again() -> None:
+    world, owner, machine = one_machine()
+    world.submit(
+        spec("j-000001", tasks=1, team=team_of(owner, machine), estimate_s=LONG_S, cpus=3.0)
+    )
+    world.until(lambda: machine.busy, 10)
+    ask_to_yield(owner, machine)
+    world.run(YIELD_S - 1.0)
+    assert closed(world, machine)
+    world.run(2.0)
+    ask_to_yield(owner, machine)
+    assert not closed(world, machine)
+    world.run(YIELD_S)
+    ask_to_yield(owner, machine)
+    assert closed(world, machine)
+
+
+def test_a_vacated_machine_whose_tasks_do_not_end_is_opened_in_time() -> None:
+    world, owner, machine = one_machine()
+    world.submit(spec("j-000001", tasks=1, team=team_of(owner, machine), rank=3, estimate_s=LONG_S))
+    world.until(lambda: machine.busy, 10)
+    world.cut.update(frozenset((str(machine.id), member)) for member in world.members)
+    ask_to_vacate(owner, machine)
+    world.run(2.0)
+    assert closed(world, machine)
+    world.cut.clear()
+    world.workers[str(machine.id)].hung = True
+    machine.heard = machine.last_answer = owner.context.now  # not taken for silent meanwhile
+    with patch.object(owner.fleet, "silence_limit_s", lambda: 1e6):
+        world.run(VACATE_S)
+    assert not closed(world, machine)
+
+
+def test_no_replica_is_stopped_for_another_organisation() -> None:
+    world, owner, machine = one_machine()
+    replica = spec("j-000001", tasks=1, team=team_of(owner, machine), service=True, rank=3)
+    world.submit(replica)
+    world.until(lambda: bool(world.on_machines()), 10)
+    world.run(2.0)
+    ask_to_vacate(owner, machine)
+    world.run(5.0)
+    assert world.on_machines() and not closed(world, machine)
+    ask_to_vacate(owner, machine, entitled=False)
+    assert closed(world, machine), "within an organisation lesser work makes way as before"
+
+
+def test_what_waits_at_the_owner_has_no_claim_on_what_is_owed() -> None:
+    world, owner, machine = one_machine()
+    team = team_of(owner, machine)
+    world.submit(spec("j-000001", tasks=1, team=team, rank=3, estimate_s=LONG_S, cpus=4.0))
+    world.until(lambda: machine.busy, 10)
+    elsewhere = next(z for z in "abc" if z != machine.record.zone)
+    with patch.object(owner.scheduler.migrations, "tick", lambda: None):
+        world.submit(spec("j-000002", tasks=20, team=team, rank=0, zone=elsewhere, cpus=4.0))
+        world.run(3.0)
+    assert owner.scheduler.unmet.get(machine.share.number)
+    ask_to_vacate(owner, machine, entitled=False)
+    assert not closed(world, machine)
+    ask_to_vacate(owner, machine)
+    assert closed(world, machine)
+
+
+def test_no_more_work_is_stopped_while_what_was_stopped_for_is_coming() -> None:
+    world = recorded()
+    marks = {"checkpoint_s": 5.0, "save_s": 8.0}
+    world.array(DEALERS, 12, LONG_S, rank=3, **marks)
+    world.until(lambda: world.running(DEALERS) == 12, 30)
+    world.run(6.0)
+    world.array(REGISTRY, 400, LONG_S)
+    stopped = set()
+    for _ in range(300):
+        world.run(0.1)
+        stopped |= {
+            task
+            for worker in world.workers.values()
+            for (task, _), entry in worker.tasks.items()
+            if entry[0] == "saving"
+        }
+    assert world.near(dealers=6, registry=6)
+    assert 5 <= len(stopped) <= 7, "a machine each for what is owed"
+    world.right()
+
+
+def test_an_owner_of_a_former_version_is_not_asked_to_stop_work_for_others() -> None:
+    world = recorded()
+    world.array(DEALERS, 12, LONG_S, rank=3)
+    world.until(lambda: world.running(DEALERS) == 12, 30)
+    with patch.object(Versions, "reads", lambda self, member, version: version < 4):
+        world.array(REGISTRY, 400, LONG_S)
+        world.run(30.0)
+    assert world.running(DEALERS) == 12
+    world.until(lambda: world.near(dealers=6, registry=6), MINUTE_S)
+
+
+def test_what_its_holder_has_no_use_for_is_lent_though_work_waits_there() -> None:
+    world = recorded(machine_zones="ab")
+    world.array(REGISTRY, 100, LONG_S, zone="a")
+    world.array(DEALERS, 100, LONG_S, zone="b")
+    world.until(lambda: world.running(REGISTRY) == 6 and world.running(DEALERS) == 6, 60)
+    world.right()
+
+
+def test_owners_are_told_of_each_need_in_its_turn_and_of_no_more_than_it_is() -> None:
+    world = recorded(machine_zones="abbbbb")
+    world.array(REGISTRY, 100, LONG_S, zone="a")
+    world.array(DEALERS, 400, zone="b")
+    world.until(lambda: world.holdings()[DEALERS] == 10, MINUTE_S)
+    world.array(REGISTRY, 4, LONG_S, zone="b")
+    most = 0
+    for _ in range(400):
+        world.run(0.1)
+        owned = [
+            m for n in world.nodes.values() if n is not None for m in n.fleet.machines.values()
+        ]
+        most = max(most, sum(closed(world, machine) for machine in owned))
+    assert world.running(REGISTRY) == 2 + 4, "the small need is met beside the large one"
+    assert most <= 4
+    world.right()
--- a/tests/world_pool.py
+++ b/tests/world_pool.py
@@ -177,11 +177,19 @@
     return [OrganisationLimits(name, 0.0, weight) for name, weight in weights.items()]
 
 
-def contended(members: tuple[str, ...] = MEMBERS, estimate_s: float = 3.0, **changes: Any) -> Any:
-    """Both organisations ask for far more than there is; the pool is divided evenly."""
+def recorded(members: tuple[str, ...] = MEMBERS, **changes: Any) -> PoolWorld:
+    """Nothing runs; every machine is on record, and divisions may be stored."""
     world = PoolWorld(members, **changes)
     world.until(lambda: len(world.checker.recorded()) == len(world.workers), 20)
     world.until(lambda: "rc/format" in world.state.data, 20)
+    return world
+
+
+def contended(
+    members: tuple[str, ...] = MEMBERS, estimate_s: float = 3.0, **changes: Any
+) -> PoolWorld:
+    """Both organisations ask for far more than there is; the pool is divided evenly."""
+    world = recorded(members, **changes)
     for organisation in TEAMS:
         world.array(organisation, 400, estimate_s)
     half = len(world.workers) // 2
