--- a/tests/test_division_command.py
+++ b/tests/test_division_command.py
@@ -10,7 +10,7 @@
 from typing import Any
 
 import pytest
-from standins import Standins
+from standins import SETTINGS, Standins
 
 from runcourse.cli import main
 from runcourse.config import Operators, load_platform
@@ -104,6 +104,20 @@
     assert reason in capsys.readouterr().err
 
 
+def test_check_config_names_a_fault_of_the_file(
+    tmp_path: Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    settings = tmp_path / "settings.toml"
+    settings.write_text(SETTINGS.format(api=1, internal=2, cloud=3, state=4), encoding="utf-8")
+    file = tmp_path / "entitlements.sexp"
+    call = ["check-config", "--config", str(settings), "--entitlements", str(file)]
+    file.write_text(TEXT, encoding="utf-8")
+    assert main(call) == 0
+    file.write_text(TEXT.replace("(pool 64)", "(pool 4)"), encoding="utf-8")
+    assert main(call) == 2
+    assert "entitlements.sexp: pool: less than the minima of 8 CPUs" in capsys.readouterr().err
+
+
 def test_nobody_answers_and_no_file_is_named(
     tmp_path: Path, capsys: pytest.CaptureFixture[str]
 ) -> None:
