--- a/tests/test_entitlement_parts.py
+++ b/tests/test_entitlement_parts.py
@@ -10,11 +10,12 @@
 
 from runcourse.core.entitlement import PoolState, Reassignment, ShareState
 from runcourse.core.ids import Instant, ShareNo
-from runcourse.core.stored_values import OrganisationLimits
+from runcourse.core.stored_values import Division, OrganisationLimits
 from runcourse.entitlements.founding import assign, deal, shares_of
 from runcourse.entitlements.limits import division_fault
+from runcourse.entitlements.policy import Entitlements
 from runcourse.entitlements.reconciler import MOST_DWELL, Reconciler
-from runcourse.entitlements.settings import Organisation, load_entitlements
+from runcourse.entitlements.settings import EntitlementSettings, Organisation, load_entitlements
 from runcourse.errors import SettingsError
 
 GOOD = (
@@ -214,6 +215,29 @@
     assert taken == 3
 
 
+def test_the_log_says_once_whether_a_division_is_reached() -> None:
+    policy = Entitlements(EntitlementSettings((organisation("a", 1), organisation("b", 1))))
+    policy.assign(lambda team: ShareNo("ab".index(team[0])), 2)
+    policy.begin(Instant(0.0))
+
+    def lines(a_held: float, now: float) -> list[str]:
+        shares = [
+            ShareState(ShareNo(n), held, held, 0.0, 40.0, True)
+            for n, held in enumerate((a_held, 48.0 - a_held))
+        ]
+        return list(policy.observe(PoolState(shares, 4.0), Instant(now)))
+
+    assert lines(8.0, 0.0) == [] == lines(8.0, 59.0)
+    (line,) = lines(8.0, 60.0)
+    assert line.startswith("division 0 is not reached: a 8 of 24 CPUs, lacks 16")
+    assert "tasks of b that run hold 16" in line
+    assert lines(8.0, 61.0) == []
+    assert lines(24.0, 70.0) == ["division 0 is reached: a 24 of 24 CPUs; b 24 of 24 CPUs"]
+    assert lines(24.0, 71.0) == [] == lines(8.0, 200.0) == lines(24.0, 201.0)
+    policy.division_changed(Division(1, [OrganisationLimits("a"), OrganisationLimits("b")]))
+    assert lines(24.0, 202.0)[0].startswith("division 1 is reached")
+
+
 def test_a_giver_keeps_its_target_within_half_a_machine() -> None:
     serves = {ShareNo(n): name for n, name in enumerate("abc")}
     held = (8.0, 17.0, 23.0)  # of 16 each, where all ask for more
--- a/tests/test_owed_machines.py
+++ b/tests/test_owed_machines.py
@@ -11,8 +11,11 @@
 from runcourse.core.leader.transfers import FETCHED_WITHIN_S, VACATE_S, YIELD_S
 from runcourse.core.machine import Machine
 from runcourse.core.node import Node
+from runcourse.core.status import status_of
 from runcourse.core.versions import Versions
 from runcourse.entitlements.policy import Entitlements
+from runcourse.net.metrics import render as metrics
+from runcourse.tables import render
 from runcourse.wire.peer_messages import DemandEntry, VacateMachine, YieldMachines
 
 NEED = DemandEntry((4.0, 4.0, 0.0), 1, False, None, None, [], 10, 10, 5.0)
@@ -180,3 +183,23 @@
     assert world.running(REGISTRY) == 2 + 1, "the small need is met beside the large one"
     assert most <= 2, "one for the need, at each of two owners"
     world.right()
+
+
+def test_operators_see_how_the_organisations_fare() -> None:
+    world = recorded()
+    world.replicas(DEALERS, 10)
+    world.until(lambda: world.running(DEALERS, service=True) == 10, 30)
+    world.array(REGISTRY, 400, LONG_S)
+    world.run(10.0)
+    leader = world.leader()
+    rows = status_of(leader)["entitlements"]["organisations"]
+    assert [row["held"] for row in rows] == [40.0, 8.0]
+    assert rows[0]["debt"] == rows[1]["lacking"] == 16.0
+    assert rows[1]["why"] == "replicas of dealers hold 16"
+    text = metrics(leader, 0, 0)[0].decode()
+    assert 'runcourse_organisation_cpus{kind="debt",organisation="dealers"} 16.0' in text
+    assert "runcourse_division_version 0.0" in text
+    assert "runcourse_entitlements_in_force 1.0" in text
+    other = next(n for n in world.nodes.values() if n is not None and n is not leader)
+    assert "target" not in status_of(other)["entitlements"]["organisations"][0]
+    assert "replicas of dealers hold 16" in render(status_of(leader))
--- a/tests/test_pool_failures.py
+++ b/tests/test_pool_failures.py
@@ -316,6 +316,19 @@
     world.right()
 
 
+@BOTH
+def test_a_cut_lands_while_a_machine_is_handed_over(members: tuple[str, ...]) -> None:
+    world = contended(members)
+    world.slow_state = 0.5
+    raised(world)
+    handed_over(world)
+    answer = world.apply({DEALERS: 3.0, REGISTRY: 1.0}, world.version())
+    assert answer is not None and answer.result == "ok"
+    world.slow_state = 0.0
+    world.until(lambda: world.near(dealers=9, registry=3), MINUTE_S)
+    world.right()
+
+
 @BOTH
 def test_the_owner_ends_while_it_hands_a_machine_over(members: tuple[str, ...]) -> None:
     world = contended(members)
