A cancelled task that saves is ended by whoever owns its share

Cause: whether a saving task gets the second stop order, without time to save, was a flag in the memory of the owner that had sent the first one. An owner that found the task saving had sent none, and took its own first order as carried out. Evidence: on the old code, after a takeover and a cancellation, the placement is in stage saving, stopping, grace 0, its machine reachable, and WorkerCommands.orders returns nothing for it; gone after 48 s where 20 s are allowed. Change: an order without time to save is sent whatever stage is reported (Placement.needs_stop_order replaces `forced`). A task found saving that nobody here stopped counts as stopped by an earlier owner, so that nothing but a cancellation cuts its saving short, and its room counts as being freed. Both follow from what workers report, which every owner has. tests/test_gang_life.py read the flag; it now checks the workers' stages and that the saving ends within 0.3 s.

--- a/runcourse/core/machine.py
+++ b/runcourse/core/machine.py
@@ -86,7 +86,6 @@
         "attempt",
         "cause",
         "fence",
-        "forced",
         "grace_s",
         "job",
         "machine",
@@ -121,8 +120,6 @@
         self.start_report_seq = -1
         self.stopping = False
         self.grace_s = 0.0
-        # A later stop order has a shorter grace; it is sent even while the task saves its progress.
-        self.forced = False
         self.fence = Token(0)  # token raised when an unlisted task is stopped; 0: none
         self.since = now
         self.ran_since = Instant(0.0)
@@ -132,6 +129,16 @@
         """Returns whether the attempt occupies room on its machine."""
         return self.stage != "ended"
 
+    @property
+    def needs_stop_order(self) -> bool:
+        """Returns whether the worker must be ordered to stop the task, perhaps once more.
+
+        A task that saves its progress has its order, but only one without time to save ends the
+        saving. Whether it has that one can't be told: the order that began the saving may be an
+        earlier owner's, and may have arrived after this owner's decision to stop the task.
+        """
+        return self.stopping and self.seen and (self.stage != "saving" or self.grace_s <= 0)
+
 
 def room_level(cpus: float) -> int:
     """Returns the whole number of free CPUs, by which machines are indexed; tolerates rounding
--- a/runcourse/core/placements.py
+++ b/runcourse/core/placements.py
@@ -141,16 +141,14 @@
             self.observer.attempt_ended(placement, reason)
 
     def stop(self, placement: Placement, grace_s: float = 0.0) -> None:
-        """Has the task stopped, with `grace_s` seconds to save its progress."""
+        """Has the task stopped, with `grace_s` seconds to save its progress.
+
+        A second call with less time cuts the saving short.
+        """
         if not placement.active or (placement.stopping and grace_s >= placement.grace_s):
             return
-        # A second stop order, with less grace time, cuts the saving short.
-        placement.forced = placement.stopping
         if not placement.stopping:
-            placement.machine.count_rank(placement, -1)
-            placement.stopping = True
-            placement.machine.count_rank(placement, 1)
-            self.observer.stop_requested(placement)
+            self._mark_stopping(placement)
         placement.grace_s = grace_s
         if not placement.seen and not placement.fence:
             # An order to start the task may be in flight, and a stop that arrives before it has no
@@ -158,6 +156,12 @@
             placement.fence = placement.machine.raise_fence()
         self._request_command(placement.machine.id)
 
+    def _mark_stopping(self, placement: Placement) -> None:
+        placement.machine.count_rank(placement, -1)
+        placement.stopping = True
+        placement.machine.count_rank(placement, 1)
+        self.observer.stop_requested(placement)
+
     # Reports of workers
 
     def update(self, machine: Machine, entry: TaskReport, job: Job | None) -> None:
@@ -174,6 +178,17 @@
         placement.seen = True
         if entry.stage != placement.stage:
             self._change_stage(placement, entry, job)
+        if entry.stage == "saving" and placement.job is not None and not placement.stopping:
+            self._adopt_stop(placement, placement.job)
+
+    def _adopt_stop(self, placement: Placement, job: Job) -> None:
+        """Records the stop of a task that saves its progress on the order of an earlier owner.
+
+        From now on it counts as being stopped, with the time that its job needs to save.
+        """
+        self.context.log("info", f"{placement.task} saves, stopped by an earlier owner")
+        self._mark_stopping(placement)
+        placement.grace_s = job.spec.save_s
 
     def _attach_job(self, placement: Placement, job: Job) -> None:
         """Attaches the job, so that the placement counts with its size from now on."""
--- a/runcourse/core/worker_commands.py
+++ b/runcourse/core/worker_commands.py
@@ -106,7 +106,7 @@
                 if answering and self._may_forget(placement):
                     orders.append(self._forget(placement))
             elif placement.stopping:
-                if placement.seen and (placement.stage != "saving" or placement.forced):
+                if placement.needs_stop_order:
                     orders.append(
                         Order("stop", placement.task, placement.attempt, placement.grace_s)
                     )
--- a/tests/test_gang_life.py
+++ b/tests/test_gang_life.py
@@ -174,10 +174,13 @@
         first.job,
     )
     assert not first.active
-    assert all(p.grace_s == 1.0 and not p.forced for p in members[1:])
+    assert all(p.grace_s == 1.0 for p in members[1:])
+    world.run(0.3)
+    assert all(p.stage == "saving" and not p.needs_stop_order for p in members[1:])
     # A cancellation leaves no time to save.
     world.cancel(UID)
-    assert all(p.grace_s == 0.0 and p.forced for p in members[1:] if p.active)
+    assert all(p.grace_s == 0.0 and p.needs_stop_order for p in members[1:] if p.active)
+    world.until(lambda: "saving" not in task_stages(world), 0.3)
     recover_and_check(world)
 
 
