An attempt that is back beside a newer one of its task is stopped

The owner listed both attempts and stopped neither. Change: where several active attempts of a task are found, all but the newest are stopped at once: one begins only when the earlier ones have certainly ended (PlacementTable._stop_older_attempts). With an image to fetch that is before it runs. Not mended: if such a worker still holds the image, the former attempt runs until the first report that lists it; nothing that a controller sent before can refuse the copy.

--- a/runcourse/core/placements.py
+++ b/runcourse/core/placements.py
@@ -185,6 +185,7 @@
     def update(self, machine: Machine, entry: TaskReport, job: Job | None) -> None:
         """Applies a report's entry on one task; `job` is None if it is not known yet."""
         placement = machine.placements.get((entry.task, entry.attempt))
+        found = placement is None
         if placement is None:
             # Started by an earlier owner of the share.
             placement = Placement(entry.task, entry.attempt, machine, job, self.context.now)
@@ -198,6 +199,30 @@
             self._change_stage(placement, entry, job)
         if entry.stage == "saving" and placement.job is not None and not placement.stopping:
             self._adopt_stop(placement, placement.job)
+        if found:
+            self._stop_older_attempts(entry.task)
+
+    def _stop_older_attempts(self, task: TaskId) -> None:
+        """Stops all active attempts of the task but the newest.
+
+        An attempt begins only when the earlier ones have certainly ended. If one is there after
+        all, a late copy of its start command reached a worker that had lost its state.
+        """
+        placements = self.by_task.get(task, [])
+        newest = max((placement.attempt for placement in placements), default=None)
+        for placement in list(placements):
+            if placement.attempt != newest:
+                self.context.log("warning", f"{task}: an earlier attempt is back, stopped")
+                self.stop(placement)
+
+    def _adopt_stop(self, placement: Placement, job: Job) -> None:
+        """Records the stop of a task that saves its progress on the order of an earlier owner.
+
+        From now on it counts as being stopped, with the time that its job needs to save.
+        """
+        self.context.log("info", f"{placement.task} saves, stopped by an earlier owner")
+        self._mark_stopping(placement)
+        placement.grace_s = job.spec.save_s
 
     def _attach_job(self, placement: Placement, job: Job) -> None:
         """Attaches the job, so that the placement counts with its size from now on."""
--- a/tests/test_late_start_commands.py
+++ b/tests/test_late_start_commands.py
@@ -11,7 +11,7 @@
 import pytest
 from failing_parts import CLUSTER_SIZES, owner_of
 from test_failing_jobs_and_late_writes import owner_of_job
-from world import CANCEL_S, LEASE_S, World, spec
+from world import CANCEL_S, LEASE_S, MEMBERS, World, spec
 from world_worker import Worker
 
 from runcourse.core import types as t
@@ -23,9 +23,11 @@
 UID = "j-000001"
 TEAM = "team-1"
 BACK_S = 0.4  # until a process that ended is back
+TAKEOVER_S = 4.0  # until another node owns the share of one that ended
 MOVE_S = 15.0  # until a stopped task runs elsewhere
 NOTICE_S = 5.0  # until the owner hears from a worker that lost its tasks
 STEP_S = 0.001  # shorter than any message takes
+SLOW_FETCH_S = 3.0  # longer than any pause between two reports
 LONG_S, SHORT_S = 500.0, 1.5  # run times of the task
 # Seconds after an event at which copies arrive: at once, amid the reaction to it, a lease later.
 COPY_DELAYS_S = (0.0, 0.01, 0.03, 0.1, 0.3, 1.0, 2.5, LEASE_S, 2 * LEASE_S)
@@ -286,3 +288,35 @@
     scene.copies.deliver_repeatedly()
     assert not scene.world.violations
     assert len(scene.holders()) == 1
+
+
+def copies_reach_a_worker_without_state(scene: Scene, happens: Step, returns: Step) -> None:
+    """Copies reach the first machine before any controller knows that it lost its state."""
+    happens(scene)
+    returns(scene)
+    scene.world.run(TAKEOVER_S)
+    scene.world.workers[scene.first_machine].restart_without_state()
+    scene.copies.deliver_repeatedly()
+    assert not scene.world.violations
+
+
+# An attempt that was over came back on a worker without its state and ran beside a newer one.
+@HAPPENS
+@pytest.mark.parametrize("returns", [nobody, owner_restarts, owner_ends, all_restart])
+@CLUSTER_SIZES
+def test_former_attempt_on_a_worker_without_state_is_stopped_before_it_runs(
+    members: tuple[str, ...], returns: Step, happens: Step
+) -> None:
+    scene = Scene(members, SHORT_S if happens in SHORT else LONG_S, by_answer=False)
+    scene.world.fetch_s = SLOW_FETCH_S
+    copies_reach_a_worker_without_state(scene, happens, returns)
+
+
+# The same where the worker still has the image: it runs the attempt before any controller hears of
+# it. No order that a controller has sent before can prevent that, see docs/safety.md.
+@pytest.mark.xfail(strict=True, reason="KNOWN-RED.txt, entry 9")
+@pytest.mark.parametrize("happens", [move, cancel])
+def test_former_attempt_on_a_worker_without_state_that_has_the_image_is_stopped_before_it_runs(
+    happens: Step,
+) -> None:
+    copies_reach_a_worker_without_state(Scene(MEMBERS, LONG_S, by_answer=False), happens, nobody)
