--- a/runcourse/locality/sources.py
+++ b/runcourse/locality/sources.py
@@ -6,7 +6,6 @@
 from __future__ import annotations
 
 from collections import deque
-from collections.abc import Iterable
 
 from ..core.ids import Instant, later
 from ..core.jobs import JobSpec
@@ -75,12 +74,3 @@
     @staticmethod
     def _rate(source: Source, zone: str) -> float:
         return source.local_rate if zone in source.zones else source.remote_rate
-
-    def local_zones(self, sources: Iterable[Source], now: Instant) -> frozenset[str]:
-        """Returns the zones of the sources that are not damped."""
-        return frozenset(
-            zone
-            for source in sources
-            if not self.is_damped(source.name, now)
-            for zone in source.zones
-        )
--- a/tests/test_daemon.py
+++ b/tests/test_daemon.py
@@ -44,8 +44,6 @@
     "due_s": None,
 }
 
-Ask = Callable[..., Awaitable[tuple[int, dict[str, Any]]]]
-
 
 class Service:
     """A controller in this process, the simulated services, and a client of its users' API."""
--- a/tests/world_pool.py
+++ b/tests/world_pool.py
@@ -22,8 +22,6 @@
 CHECK_INTERVAL_S = 0.02
 CONTENDED_TASKS = 400  # far more than the machines of any test
 
-Holding = tuple[str, int]  # a node's process: member and generation
-
 
 def settings(**changes: Any) -> EntitlementSettings:
     organisations = tuple(Organisation(name, teams) for name, teams in TEAMS.items())
@@ -163,10 +161,6 @@
         assert node is not None
         return node
 
-    def has_live_leader(self) -> bool:
-        stored = self.state.data.get("rc/leader")
-        return stored is not None and self.nodes[stored[0]["member"]] is not None
-
     def holdings_near(self, **machines: int) -> bool:
         """Returns whether each organisation holds the given number of machines, within one."""
         held = self.holdings()
--- a/tools/measure_locality.py
+++ b/tools/measure_locality.py
@@ -32,7 +32,6 @@
 
 ZONES = ("a", "b")
 WORKERS = 20
-CPUS = 4.0
 REPORT_S = 0.5
 HOT_TEAM, QUIET_TEAM = "crew-0", "crew-3"  # assigned to the same of three shares
 # Time that reading adds to a task, by whether it runs in the zone of its data.
