--- a/runcourse/core/leader/catalogue.py
+++ b/runcourse/core/leader/catalogue.py
@@ -14,8 +14,8 @@
 from ..versions import Versions
 from .leadership import Leadership
 
-CATALOG_EVERY_S = 30.0  # between two readings of the cloud's catalogue
-EMPTY_CATALOG_EVERY_S = 1.0  # between two readings while no machine type is known
+CATALOG_INTERVAL_S = 30.0  # between two readings of the cloud's catalogue
+EMPTY_CATALOG_INTERVAL_S = 1.0  # between two readings while no machine type is known
 SCALAR_COLUMNS = 9  # fields of `MachineType` before `zones`
 BYTES_PER_KB = 1024
 
@@ -42,7 +42,7 @@
 
     def tick(self) -> None:
         """Reads the catalogue from the cloud when the interval since the last reading is over."""
-        every = CATALOG_EVERY_S if self.fleet.types else EMPTY_CATALOG_EVERY_S
+        every = CATALOG_INTERVAL_S if self.fleet.types else EMPTY_CATALOG_INTERVAL_S
         if self.context.now >= self._last_read_at + every:
             self._last_read_at = self.context.now
             self.context.emit(ReadCatalog(self._store_catalogue))
--- a/runcourse/core/leader/fleet_planner.py
+++ b/runcourse/core/leader/fleet_planner.py
@@ -39,9 +39,9 @@
 from .spare_capacity import SpareCapacity
 from .transfers import MachineTransfers
 
-LOAD_EVERY_S = 0.25  # between two load reports to the leader
-PLAN_EVERY_S = 0.5  # between two plans of the leader
-PRUNE_EVERY_S = 30.0  # between two removals of machines without a record from the leader's state
+LOAD_INTERVAL_S = 0.25  # between two load reports to the leader
+PLAN_INTERVAL_S = 0.5  # between two plans of the leader
+PRUNE_INTERVAL_S = 30.0  # between two removals of machines without a record from the leader's state
 # Minimum pause in hiring an offering (type, zone, spot or not) whose machine did not come up.
 FAILED_BOOT_PAUSE_S = 10.0
 RETURN_RETRY_S = 3.0  # between two requests to return the same machine
@@ -119,7 +119,7 @@
         now = self.context.now
         if not self.store.ready:
             return
-        if now >= self._last_load_at + LOAD_EVERY_S:
+        if now >= self._last_load_at + LOAD_INTERVAL_S:
             self._last_load_at = now
             self._report_loads()
             self.transfers.tick()
@@ -133,7 +133,7 @@
             self._begin()
         self.catalogue.tick()
         self.inventory.tick()
-        if now >= self._last_plan_at + PLAN_EVERY_S and self.fleet.types:
+        if now >= self._last_plan_at + PLAN_INTERVAL_S and self.fleet.types:
             self._last_plan_at = now
             self.inventory.release_leaving()
             self._plan()
@@ -241,7 +241,7 @@
             expected[share][offering] = expected[share].get(offering, 0.0) + 1.0
 
     def _prune(self) -> None:
-        if self.context.now < self._last_prune_at + PRUNE_EVERY_S:
+        if self.context.now < self._last_prune_at + PRUNE_INTERVAL_S:
             return
         self._last_prune_at = self.context.now
         self.inventory.prune()
--- a/runcourse/core/leader/inventory.py
+++ b/runcourse/core/leader/inventory.py
@@ -42,7 +42,7 @@
 MAX_RELEASE = 100  # machines in one request to return them, by the cloud's protocol
 LIST_PAGE = 500  # machines in one page of the cloud's list, by its protocol
 LIST_RATE_FRACTION = 0.25  # of the cloud's rate limit, used at most for reading the list
-MIN_LIST_EVERY_S = 3.0  # between two readings of the list
+MIN_LIST_INTERVAL_S = 3.0  # between two readings of the list
 LISTS_PER_LAG = 2  # readings of the list within the time by which it may be out of date
 STALE_LIST_LAGS = 2  # times `list_lag_s`: a list is older than the one before by at most this
 STALE_LIST_SLACK_S = 1.0  # added to the time by which a list may be older than the one before
@@ -111,7 +111,7 @@
         pages = math.ceil(len(self._listed_now) / LIST_PAGE)
         return max(
             cloud.list_lag_s / LISTS_PER_LAG,
-            MIN_LIST_EVERY_S,
+            MIN_LIST_INTERVAL_S,
             pages / (LIST_RATE_FRACTION * cloud.rps),
         )
 
--- a/runcourse/core/leader/share_balancer.py
+++ b/runcourse/core/leader/share_balancer.py
@@ -28,9 +28,9 @@
 # Tasks that may not use spot machines wait this long for an empty machine before tasks of other
 # shares are stopped for them.
 VACATE_AFTER_S = 2.0
-VACATE_EVERY_S = 1.0  # between two rounds of vacate requests (stop tasks, then transfer)
+VACATE_INTERVAL_S = 1.0  # between two rounds of vacate requests (stop tasks, then transfer)
 MACHINES_PER_VACATE = 1_000  # a round has one request, and one more per so many recorded machines
-YIELD_EVERY_S = 2.0  # between two rounds of yield requests (transfer once tasks have ended)
+YIELD_INTERVAL_S = 2.0  # between two rounds of yield requests (transfer once tasks have ended)
 # A share is asked to yield machines (give them once their tasks have ended) if the taker's demand
 # per CPU is at least this many times its own.
 YIELD_IMBALANCE_FACTOR = 1.5
@@ -203,7 +203,7 @@
                 }
             )
             if others:
-                self._next_vacate_at = Instant(now + VACATE_EVERY_S)
+                self._next_vacate_at = Instant(now + VACATE_INTERVAL_S)
                 other = self.context.rng.choice(others)
                 entitled = not self.policy.same_organisation(other, share)
                 if entitled:
@@ -269,7 +269,7 @@
         for group in self._shares_by_organisation():
             requested |= self._balance_within({s: cpus[s] for s in group})
         if requested:
-            self._next_yield_at = Instant(now + YIELD_EVERY_S)
+            self._next_yield_at = Instant(now + YIELD_INTERVAL_S)
 
     def _shares_by_organisation(self) -> list[list[ShareNo]]:
         """Returns the shares by organisation; all in one group while the policy is not in force."""
--- a/runcourse/core/leader/spare_capacity.py
+++ b/runcourse/core/leader/spare_capacity.py
@@ -15,13 +15,13 @@
 from .inventory import MAX_RELEASE
 from .transfers import MachineTransfers
 
-FLEET_LOG_EVERY_S = 30.0  # between two log lines on the whole fleet
+FLEET_LOG_INTERVAL_S = 30.0  # between two log lines on the whole fleet
 MIN_PAID_S = 60.0  # a machine is paid for this long even if it is returned earlier
 # A machine is kept empty for this fraction of its boot time, or until its minimum paid time is over
 # if that is longer, but at most for MAX_IDLE_S.
 IDLE_BOOT_FRACTION = 0.5
 MAX_IDLE_S = 45.0  # upper bound of the time for which a machine in surplus is kept empty
-DRAIN_EVERY_S = 4.0  # between two requests to drain machines
+DRAIN_INTERVAL_S = 4.0  # between two requests to drain machines
 DRAIN_SURPLUS = 1.5  # least surplus at which machines are drained, in machines of the largest type
 DRAIN_SLACK = 1.25  # a share drains only with more unused capacity (in largest machines)
 # Fraction of the surplus drained per request: one by one takes too long if the surplus is large.
@@ -61,7 +61,7 @@
         """
         keep = self._peak_demand_cpus()
         capacity = sum(cpus.values())
-        if self.context.now >= self._last_log_at + FLEET_LOG_EVERY_S:
+        if self.context.now >= self._last_log_at + FLEET_LOG_INTERVAL_S:
             self._last_log_at = self.context.now
             self._log_fleet(idle, capacity, keep)
         largest = self._largest_tasks() if any(idle.values()) else {}
@@ -150,6 +150,6 @@
         if slack:
             share = max(slack, key=lambda s: slack[s])
             if slack[share] > DRAIN_SLACK * largest:
-                self._next_drain_at = later(self.context.now, DRAIN_EVERY_S)
+                self._next_drain_at = later(self.context.now, DRAIN_INTERVAL_S)
                 number = max(1, int((capacity - keep) / largest * DRAIN_FRACTION))
                 self.transfers.send_to_owner(share, DrainMachines(share, number))
--- a/runcourse/core/leader/transfers.py
+++ b/runcourse/core/leader/transfers.py
@@ -36,7 +36,7 @@
 # Time for a yielded machine, which takes no new tasks, to become empty; also the pause before it
 # may be reserved for another organisation again if it did not.
 YIELD_TIMEOUT_S = 45.0
-RETRY_EVERY_S = 0.3  # between two retries of all record changes that failed
+RETRY_INTERVAL_S = 0.3  # between two retries of all record changes that failed
 
 
 class PendingTransfer(NamedTuple):
@@ -170,7 +170,7 @@
 
     def _retry(self) -> None:
         if self._retries and self.context.now >= self._next_retry_at:
-            self._next_retry_at = Instant(self.context.now + RETRY_EVERY_S)
+            self._next_retry_at = Instant(self.context.now + RETRY_INTERVAL_S)
             retries, self._retries = self._retries, []
             for attempt in retries:
                 attempt()
