--- a/runcourse/core/reports.py
+++ b/runcourse/core/reports.py
@@ -156,6 +156,7 @@
                 self.placements.remove(placement, "absent")
                 self.observer.capacity_changed()
             elif placement.seen:
+                # A worker forgets no attempt without an order, unless it restarts.
                 lost.append(placement)
         self.placements.mark_lost(machine, lost)
 
@@ -184,6 +185,7 @@
         with the token raised here are. The active tasks that the worker does not list are lost.
         """
         self.context.log("warning", f"machine {machine.id}: came back without memory")
+        # A late copy may start the active ones there again, so they are not removed yet.
         for placement in list(machine.placements.values()):
             if not placement.active:
                 self.placements.remove(placement, "restart")
